--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -0,0 +1,231 @@
+package org.yuccawind.core.client
+
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.yuccawind.core.group.GroupServer
+import org.yuccawind.core.group.ServerGroup
+import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.PooledLink
+import org.yuccawind.core.route.Freshness
+import org.yuccawind.core.route.Route
+import org.yuccawind.core.statement.Access
+import org.yuccawind.core.statement.SessionState
+import org.yuccawind.core.statement.StatementAnswer
+import org.yuccawind.core.statement.StatementCode
+import org.yuccawind.core.statement.StatementResult
+
+/** Pause before a full server is asked again. */
+private val BUSY_PAUSE = 20.milliseconds
+
+/** Time for a server to confirm that a transaction is rolled back, before its link is closed. */
+private val ROLLBACK_LIMIT = 1.seconds
+
+/**
+ * A client's transaction. It takes a connection with its first statement and keeps it to the end;
+ * a connection that is lost ends the transaction, rolled back.
+ */
+internal class ClientTransaction(
+    private val context: SessionContext,
+    private val values: SessionValues,
+    private val route: Route,
+    private val isReadOnly: Boolean
+) {
+    private val group: ServerGroup? = context.groups(route.service)
+    private var pin: Pin? = null
+    private var hasWritten = false
+    private var expiry: StatementAnswer? = null
+
+    /** State that the client sees. */
+    var state = SessionState.IN_TRANSACTION
+        private set
+
+    /** Runs a statement of the transaction. */
+    suspend fun run(work: Work): StatementAnswer {
+        if (isReadOnly && work.access == Access.WRITE) {
+            fail()
+            return refused(StatementCode.READ_ONLY, "the transaction may only read")
+        }
+        val deadline = context.time.markNow() + route.statementLimit
+        val pin = pin ?: pinned(deadline) ?: return failWith(StatementCode.BUSY, "no server to begin on")
+        if (work.access == Access.WRITE) hasWritten = true
+        val commands = pin.link.imprint(values.image) + work.commandsFor(pin.link)
+        return when (val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())) {
+            is CallResult.Answered -> answerOf(pin, result)
+            is CallResult.Lost -> failWith(StatementCode.ABORTED, "connection lost")
+            CallResult.TimedOut -> failWith(StatementCode.ABORTED, "no answer in time")
+        }
+    }
+
+    /** Commits under the client's [id]. The transaction is over afterwards, however it ended. */
+    suspend fun commit(id: String): StatementAnswer {
+        val deadline = context.time.markNow() + route.statementLimit
+        state = SessionState.IDLE
+        val pin = pin ?: pinned(deadline)
+            ?: return refused(StatementCode.BUSY, "no server to begin on")
+        val sentAt = context.time.markNow()
+        val commands = listOf(LinkCommand.Commit(id))
+        val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())
+        unpin()
+        return when (result) {
+            is CallResult.Answered -> committed(pin, result, sentAt)
+            is CallResult.Lost -> lostCommit(result.wasSent)
+            CallResult.TimedOut -> lostCommit(wasSent = true)
+        }
+    }
+
+    /** Rolls back; the connection serves others once the server has confirmed it. */
+    fun rollback() {
+        val pinned = pin ?: return
+        pin = null
+        context.scope.launch {
+            try {
+                pinned.server.call(pinned.link, listOf(LinkCommand.Rollback), ROLLBACK_LIMIT)
+            } finally {
+                pinned.server.release(pinned.link)
+            }
+        }
+    }
+
+    /** Rolls back and leaves the transaction failed. */
+    fun fail() {
+        rollback()
+        state = SessionState.FAILED_TRANSACTION
+    }
+
+    /** Rolls back a transaction that its client left open. */
+    fun abandon() {
+        if (state != SessionState.IN_TRANSACTION) return
+        fail()
+        expiry = refused(StatementCode.ABORTED, "the transaction was idle for too long")
+    }
+
+    /** The answer for the first statement after [abandon]; null later. */
+    fun takeExpiry(): StatementAnswer? = expiry.also { expiry = null }
+
+    private suspend fun pinned(deadline: ComparableTimeMark): Pin? {
+        val group = group ?: return null
+        val begin = TransactionBegin(context, group, values, route, deadline)
+        pin = if (isReadOnly) begin.onReader() else begin.onLeader()
+        return pin
+    }
+
+    private fun answerOf(pin: Pin, result: CallResult.Answered): StatementAnswer {
+        val reply = result.last
+        val code = reply.refusal?.code
+        if (code == StatementCode.READ_ONLY) group?.noteNotLeading(pin.server)
+        if (reply.state != SessionState.IN_TRANSACTION) fail()
+        return StatementAnswer(reply.rows, reply.result, state, reply.position)
+    }
+
+    private fun committed(
+        pin: Pin,
+        result: CallResult.Answered,
+        sentAt: ComparableTimeMark
+    ): StatementAnswer {
+        val reply = result.last
+        val position = reply.position
+        if (reply.isDone && hasWritten && position != null) {
+            group?.certify(pin.server, position, sentAt)
+            values.noteWrite(position)
+        }
+        return StatementAnswer(reply.rows, reply.result, SessionState.IDLE, position)
+    }
+
+    private fun lostCommit(wasSent: Boolean): StatementAnswer {
+        val isUnknown = wasSent && hasWritten
+        val code = if (isUnknown) StatementCode.OUTCOME_UNKNOWN else StatementCode.ABORTED
+        return refused(code, "connection lost during the commit")
+    }
+
+    private fun unpin() {
+        pin?.let { it.server.release(it.link) }
+        pin = null
+    }
+
+    private fun failWith(code: StatementCode, detail: String): StatementAnswer {
+        fail()
+        return refused(code, detail)
+    }
+
+    private fun refused(code: StatementCode, detail: String) =
+        StatementAnswer(emptyList(), StatementResult.Refused(code, detail), state)
+}
+
+/** The connection that a transaction holds. */
+internal data class Pin(val server: GroupServer, val link: PooledLink)
+
+/** Finds a server for a transaction and opens it there; nothing of the client is sent yet. */
+internal class TransactionBegin(
+    private val context: SessionContext,
+    private val group: ServerGroup,
+    private val values: SessionValues,
+    private val route: Route,
+    private val deadline: ComparableTimeMark
+) {
+    private val arrivedAt = context.time.markNow()
+
+    /** Opens a transaction that may write, on the primary. */
+    suspend fun onLeader(): Pin? {
+        while (remaining() > Duration.ZERO) {
+            val server = group.awaitLeader(remaining()) ?: return null
+            val pin = open(server) { listOf(LinkCommand.Begin(isReadOnly = false)) }
+            if (pin != null) return pin
+            delay(BUSY_PAUSE)
+        }
+        return null
+    }
+
+    /** Opens a read-only transaction on a server whose log is proved to hold what it must see. */
+    suspend fun onReader(): Pin? {
+        if (route.freshness == Freshness.Latest) return onLeader()
+        while (remaining() > Duration.ZERO) {
+            val need = ReadNeeds.find(group, route, values, arrivedAt, remaining()) ?: return null
+            for (server in group.readers()) {
+                val pin = open(server) { listOf(LinkCommand.Begin(true, need.point)) } ?: continue
+                // A server that missed a change of primary may hold other entries at this number.
+                if (need.isCoveredBy(pin.link.term)) return pin
+                discard(pin)
+            }
+            delay(BUSY_PAUSE)
+        }
+        return null
+    }
+
+    private fun remaining() = -deadline.elapsedNow()
+
+    private suspend fun open(server: GroupServer, begin: () -> List<LinkCommand>): Pin? {
+        val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull() ?: return null
+        val sentAt = context.time.markNow()
+        val commands = link.imprint(values.image) + begin()
+        val result = server.call(link, commands, minOf(BEGIN_LIMIT, remaining()))
+        val reply = (result as? CallResult.Answered)?.last
+        if (reply == null || reply.state != SessionState.IN_TRANSACTION) {
+            if (reply?.refusal?.code == StatementCode.READ_ONLY) group.noteNotLeading(server)
+            server.release(link)
+            return null
+        }
+        val position = reply.position
+        val command = commands.last() as? LinkCommand.Begin
+        if (command?.isReadOnly == false && position != null) {
+            group.certify(server, position, sentAt)
+        }
+        return Pin(server, link)
+    }
+
+    private suspend fun discard(pin: Pin) {
+        pin.server.call(pin.link, listOf(LinkCommand.Rollback), ROLLBACK_LIMIT)
+        pin.server.release(pin.link)
+    }
+
+    private companion object {
+        /** Greatest wait for a connection to one server. */
+        val LINK_PATIENCE = 200.milliseconds
+
+        /** Greatest time for a server to begin a transaction, which takes no slot. */
+        val BEGIN_LIMIT = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupContext.kt
@@ -0,0 +1,21 @@
+package org.yuccawind.core.group
+
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import org.yuccawind.core.link.ServerConnector
+import org.yuccawind.core.port.DecisionLog
+
+/**
+ * What all groups of one instance share.
+ *
+ * @property scope runs background work; its dispatcher confines the groups' state to one thread
+ * @property time the clock
+ * @property connector opens connections
+ * @property log receives a line for each decision
+ */
+class GroupContext(
+    val scope: CoroutineScope,
+    val time: TimeSource.WithComparableMarks,
+    val connector: ServerConnector,
+    val log: DecisionLog
+)
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -0,0 +1,131 @@
+package org.yuccawind.core.group
+
+import arrow.core.Either
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.LinkLost
+import org.yuccawind.core.link.LinkPool
+import org.yuccawind.core.link.LinkReply
+import org.yuccawind.core.link.OpenError
+import org.yuccawind.core.link.PooledLink
+import org.yuccawind.core.model.LogPoint
+
+/** Weight of a new answer in the moving average of answer times. */
+private const val ANSWER_WEIGHT = 0.2
+
+/** Answer time assumed of a server that has not answered yet. */
+private val FIRST_GUESS = 15.milliseconds
+
+/** Time within which an average without new answers loses half of its weight. */
+private val FORGET_PERIOD = 1_000.milliseconds
+
+/**
+ * One backend server of a group, as this instance sees it. Confined to its group's event loop.
+ *
+ * @property member its newest registration
+ */
+class GroupServer internal constructor(
+    member: GroupMember,
+    private val pool: LinkPool,
+    private val time: TimeSource.WithComparableMarks
+) {
+    /** The newest registration. */
+    var member: GroupMember = member
+        internal set
+
+    /** Statements on their way to the server or running there. */
+    var inFlight = 0
+        private set
+
+    /** End of the server's log in its newest answer on any link. */
+    var position: LogPoint? = null
+        private set
+
+    /** When the newest answer came, or null. */
+    var answeredAt: ComparableTimeMark? = null
+        private set
+
+    /** When the first failure since the newest answer came, or null. */
+    var failingSince: ComparableTimeMark? = null
+        private set
+
+    private var answerTime = FIRST_GUESS
+
+    /** Name of the server. */
+    val name get() = member.name
+
+    /** Callers that wait for a link, and links in use. */
+    val demand get() = pool.waiting + pool.inUse
+
+    /** Expected time until a statement sent now is answered. */
+    fun expectedTime(): Duration {
+        val age = answeredAt?.elapsedNow() ?: FORGET_PERIOD
+        val memory = FORGET_PERIOD / (FORGET_PERIOD + age)
+        return answerTime * memory * (1 + inFlight + pool.waiting) / member.slots.coerceAtLeast(1)
+    }
+
+    /** Takes a link, waiting at most [patience]. */
+    suspend fun acquire(patience: Duration): Either<OpenError, PooledLink>? {
+        val result = pool.acquire(patience)
+        result?.onLeft { if (it is OpenError.Unreachable) noteFailure() }
+        return result
+    }
+
+    /** Gives [link] back. */
+    fun release(link: PooledLink) = pool.release(link)
+
+    /** Sends [commands] on [link] and takes note of how the server answers. */
+    suspend fun exchange(
+        link: PooledLink,
+        commands: List<LinkCommand>
+    ): Either<LinkLost, List<LinkReply>> {
+        val sentAt = time.markNow()
+        inFlight++
+        try {
+            val result = link.exchange(commands)
+            result.fold({ noteFailure() }, { noteAnswer(it) })
+            if (result.isRight() && commands.any(::isWork)) noteAnswerTime(sentAt.elapsedNow())
+            return result
+        } finally {
+            inFlight--
+        }
+    }
+
+    /** Takes note that an answer did not come in time. */
+    fun noteFailure() {
+        if (failingSince == null) failingSince = time.markNow()
+    }
+
+    internal fun trim() = pool.trim()
+
+    internal fun dropIdle() = pool.dropIdle()
+
+    internal fun close() = pool.close()
+
+    private fun noteAnswer(replies: List<LinkReply>) {
+        answeredAt = time.markNow()
+        failingSince = null
+        replies.lastOrNull()?.position?.let { position = it }
+    }
+
+    private fun noteAnswerTime(elapsed: Duration) {
+        answerTime = answerTime * (1 - ANSWER_WEIGHT) + elapsed * ANSWER_WEIGHT
+    }
+
+    /** True for commands that take a statement slot of the server. */
+    private fun isWork(command: LinkCommand) = when (command) {
+        is LinkCommand.Forward, is LinkCommand.Execute, is LinkCommand.Commit -> true
+
+        is LinkCommand.Begin,
+        is LinkCommand.Prepare,
+        is LinkCommand.SetValue,
+        is LinkCommand.StepDown,
+        LinkCommand.Reset,
+        LinkCommand.Rollback,
+        LinkCommand.Status
+        -> false
+    }
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
@@ -0,0 +1,61 @@
+package org.yuccawind.core.group
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.PooledLink
+import org.yuccawind.core.statement.StatementCode
+
+/** Greatest time for one server's answer: many round trips between zones. */
+private val ANSWER_LIMIT = 300.milliseconds
+
+/**
+ * Finds out which server of a group leads, by opening a transaction that may write and rolling it
+ * back in the same batch. It takes one round trip and no statement slot.
+ */
+internal class LeaderProbe(private val group: ServerGroup, private val context: GroupContext) {
+    private var inProgress: Deferred<Boolean>? = null
+
+    /** Asks, or shares the answer of a question begun before; true when a server leads. */
+    suspend fun run(): Boolean {
+        val running = inProgress?.takeIf { it.isActive }
+            ?: context.scope.async { search() }.also { inProgress = it }
+        return running.await()
+    }
+
+    private suspend fun search(): Boolean {
+        val known = group.leader
+        if (known != null && ask(known)) return true
+        val others = group.servers.filter { it !== known }
+        return others.map { context.scope.async { ask(it) } }.map { it.await() }.any { it }
+    }
+
+    private suspend fun ask(server: GroupServer): Boolean {
+        val link = server.acquire(ANSWER_LIMIT)?.getOrNull() ?: return false
+        try {
+            return withTimeoutOrNull(ANSWER_LIMIT) { ask(server, link) } ?: run {
+                server.noteFailure()
+                link.close()
+                false
+            }
+        } finally {
+            server.release(link)
+        }
+    }
+
+    private suspend fun ask(server: GroupServer, link: PooledLink): Boolean {
+        val sentAt = context.time.markNow()
+        val replies = server.exchange(link, listOf(LinkCommand.Begin(false), LinkCommand.Rollback))
+            .getOrNull() ?: return false
+        val begun = replies.first()
+        val position = begun.position
+        if (begun.isDone && position != null) {
+            group.certify(server, position, sentAt)
+            return true
+        }
+        if (begun.refusal?.code == StatementCode.READ_ONLY) group.noteNotLeading(server)
+        return false
+    }
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -0,0 +1,160 @@
+package org.yuccawind.core.link
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccawind.core.statement.SessionState
+
+/** Time without new attempts after the server refused a connection: about five open times. */
+private val FULL_PAUSE = 100.milliseconds
+
+/** Time after which a link above the floor that nobody used is closed. */
+private val IDLE_LIMIT = 3.seconds
+
+/**
+ * The connections of this instance to one backend server. Confined to the event loop of its group.
+ *
+ * New connections are opened only while somebody waits, and whoever waits longest gets the first
+ * connection, new or given back.
+ *
+ * @param limit connections that this instance may open
+ * @param floor connections that stay open when unused
+ */
+internal class LinkPool(
+    private val scope: CoroutineScope,
+    private val time: TimeSource.WithComparableMarks,
+    private val limit: () -> Int,
+    private val floor: () -> Int,
+    private val open: suspend () -> Either<OpenError, PooledLink>
+) {
+    private val idle = ArrayDeque<PooledLink>()
+    private val waiters = ArrayDeque<CompletableDeferred<Either<OpenError, PooledLink>>>()
+    private var held = 0
+    private var opening = 0
+    private var fullUntil: ComparableTimeMark? = null
+    private var isClosed = false
+
+    /** Links open or being opened. */
+    val size get() = held + idle.size + opening
+
+    /** Links in use. */
+    val inUse get() = held
+
+    /** Callers that wait for a link. */
+    val waiting get() = waiters.size
+
+    /** Takes a link, waiting at most [patience]; null when none came in time. */
+    suspend fun acquire(patience: Duration): Either<OpenError, PooledLink>? {
+        takeIdle()?.let { return it.right() }
+        val waiter = CompletableDeferred<Either<OpenError, PooledLink>>()
+        waiters.addLast(waiter)
+        openForWaiters()
+        var result: Either<OpenError, PooledLink>? = null
+        try {
+            result = withTimeoutOrNull(patience) { waiter.await() }
+            return result
+        } finally {
+            if (result == null) abandon(waiter)
+        }
+    }
+
+    /** Gives [link] back; one whose state is not idle is closed. */
+    fun release(link: PooledLink) {
+        held--
+        if (!link.isOpen || link.state != SessionState.IDLE || isClosed) {
+            link.close()
+            openForWaiters()
+            return
+        }
+        offer(link)
+    }
+
+    /** Closes links that were not used lately, above the floor. */
+    fun trim() {
+        while (size > floor()) {
+            val oldest = idle.firstOrNull() ?: return
+            if (oldest.answeredAt.elapsedNow() < IDLE_LIMIT) return
+            idle.removeFirst().close()
+        }
+    }
+
+    /** Closes unused links, and used ones when they come back. */
+    fun close() {
+        isClosed = true
+        while (idle.isNotEmpty()) idle.removeFirst().close()
+        failWaiters(OpenError.Unreachable("server is gone"))
+    }
+
+    /** Closes unused links; their server or the way to it is in doubt. */
+    fun dropIdle() {
+        while (idle.isNotEmpty()) idle.removeFirst().close()
+    }
+
+    private fun takeIdle(): PooledLink? {
+        while (idle.isNotEmpty()) {
+            val link = idle.removeLast()
+            if (link.isOpen) {
+                held++
+                return link
+            }
+        }
+        return null
+    }
+
+    private fun offer(link: PooledLink) {
+        while (waiters.isNotEmpty()) {
+            if (waiters.removeFirst().complete(link.right())) {
+                held++
+                return
+            }
+        }
+        idle.addLast(link)
+    }
+
+    private fun abandon(waiter: CompletableDeferred<Either<OpenError, PooledLink>>) {
+        waiters.remove(waiter)
+        if (waiter.isCompleted) waiter.getCompleted().onRight(::release)
+        waiter.cancel()
+    }
+
+    private fun openForWaiters() {
+        if (isClosed) return failWaiters(OpenError.Unreachable("server is gone"))
+        val isFull = fullUntil?.hasPassedNow() == false
+        while (!isFull && opening < waiters.size && size < limit()) launchOpen()
+        if (size == 0) failWaiters(OpenError.TooMany("no room for a connection"))
+    }
+
+    private fun launchOpen() {
+        opening++
+        scope.launch {
+            val result = open()
+            opening--
+            result.fold(::onOpenFailed, ::onOpened)
+        }
+    }
+
+    private fun onOpened(link: PooledLink) {
+        fullUntil = null
+        if (isClosed) link.close() else offer(link)
+    }
+
+    /** While other links are held, a waiter has the hope that one of them comes back. */
+    private fun onOpenFailed(error: OpenError) {
+        if (error is OpenError.TooMany) fullUntil = time.markNow() + FULL_PAUSE
+        val isHopeless = error !is OpenError.TooMany || size == 0
+        if (isHopeless) waiters.removeFirstOrNull()?.complete(error.left())
+    }
+
+    private fun failWaiters(error: OpenError) {
+        while (waiters.isNotEmpty()) waiters.removeFirst().complete(error.left())
+    }
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkReply.kt
@@ -0,0 +1,26 @@
+package org.yuccawind.core.link
+
+import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.statement.SessionState
+import org.yuccawind.core.statement.StatementResult
+
+/**
+ * A backend server's answer to one command.
+ *
+ * @property rows rows of a read
+ * @property result how the command ended
+ * @property state state of the link after it
+ * @property position end of the server's log; null when it told none
+ */
+data class LinkReply(
+    val rows: List<String>,
+    val result: StatementResult,
+    val state: SessionState,
+    val position: LogPoint?
+) {
+    /** True when the command succeeded. */
+    val isDone get() = result is StatementResult.Done
+
+    /** The refusal, or null. */
+    val refusal get() = result as? StatementResult.Refused
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/ServerConnector.kt
@@ -0,0 +1,26 @@
+package org.yuccawind.core.link
+
+import arrow.core.Either
+import org.yuccawind.core.group.GroupMember
+import org.yuccawind.core.model.ServiceName
+
+/** Opens connections to backend servers. */
+fun interface ServerConnector {
+    /** A new connection to [member], whose identity the server has confirmed. */
+    suspend fun open(service: ServiceName, member: GroupMember): Either<OpenError, ServerLink>
+}
+
+/** Why no connection could be opened. */
+sealed interface OpenError {
+    /** One line for the logs. */
+    val detail: String
+
+    /** The server accepts no further connection. */
+    data class TooMany(override val detail: String) : OpenError
+
+    /** Another server answers at this address. */
+    data class WrongServer(override val detail: String) : OpenError
+
+    /** The server refused the connection, or did not answer in time. */
+    data class Unreachable(override val detail: String) : OpenError
+}
