--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -18,11 +18,7 @@
  * @property id identity of the session in the log
  * @property database the name that the client connected to
  */
-class ClientSession(
-    val id: String,
-    val database: String,
-    private val context: SessionContext
-) {
+class ClientSession(val id: String, val database: String, private val context: SessionContext) {
     private val values = SessionValues()
     private val reads = SingleRead(context, values)
     private val writes = SingleWrite(context, values)
@@ -89,22 +85,20 @@
     }
 
     /** Ending a failed transaction rolls it back, whichever way it is ended. */
-    private fun afterFailure(
-        open: ClientTransaction,
-        request: StatementRequest
-    ): StatementAnswer = when (request.statement) {
-        Statement.Rollback -> rollback()
-
-        Statement.Commit -> {
-            transaction = null
-            refused(StatementCode.ABORTED, "the transaction failed and was rolled back")
-        }
+    private fun afterFailure(open: ClientTransaction, request: StatementRequest): StatementAnswer =
+        when (request.statement) {
+            Statement.Rollback -> rollback()
 
-        else -> {
-            val expired = open.takeExpiry()
-            expired ?: malformed("the transaction failed; end it first")
+            Statement.Commit -> {
+                transaction = null
+                refused(StatementCode.ABORTED, "the transaction failed and was rolled back")
+            }
+
+            else -> {
+                val expired = open.takeExpiry()
+                expired ?: malformed("the transaction failed; end it first")
+            }
         }
-    }
 
     private fun deallocate(statement: Statement.Deallocate): StatementAnswer =
         if (values.deallocate(statement.name)) done() else noStatement(statement.name)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -50,7 +50,8 @@
             return refused(StatementCode.READ_ONLY, "the transaction may only read")
         }
         val deadline = context.time.markNow() + route.statementLimit
-        val pin = pin ?: pinned(deadline) ?: return failWith(StatementCode.BUSY, "no server to begin on")
+        val pin =
+            pin ?: pinned(deadline) ?: return failWith(StatementCode.BUSY, "no server to begin on")
         if (work.access == Access.WRITE) hasWritten = true
         val commands = pin.link.imprint(values.image) + work.commandsFor(pin.link)
         return when (val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -34,7 +34,16 @@
 ) {
     /** The newest registration. */
     var member: GroupMember = member
-        internal set
+        internal set(value) {
+            if (value.heartbeat != field.heartbeat) heartbeatAt = time.markNow()
+            field = value
+        }
+
+    private var heartbeatAt = time.markNow()
+    private var deniedAt: ComparableTimeMark? = null
+
+    /** Time since the registration last changed, as this instance saw it. */
+    val heartbeatAge get() = heartbeatAt.elapsedNow()
 
     /** Statements on their way to the server or running there. */
     var inFlight = 0
@@ -99,6 +108,19 @@
         if (failingSince == null) failingSince = time.markNow()
     }
 
+    /** Takes note that the server refused what only a primary runs. */
+    fun noteDenial() {
+        deniedAt = time.markNow()
+    }
+
+    /** Takes note that the server proved to lead. */
+    fun noteLead() {
+        deniedAt = null
+    }
+
+    /** True when the server denied within [age] that it leads. */
+    fun isDenying(age: Duration) = deniedAt?.let { it.elapsedNow() < age } == true
+
     internal fun trim() = pool.trim()
 
     internal fun dropIdle() = pool.dropIdle()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
@@ -3,6 +3,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.PooledLink
@@ -27,9 +29,17 @@
 
     private suspend fun search(): Boolean {
         val known = group.leader
-        if (known != null && ask(known)) return true
-        val others = group.servers.filter { it !== known }
-        return others.map { context.scope.async { ask(it) } }.map { it.await() }.any { it }
+        val isDoubtful = known == null || known.failingSince != null
+        if (!isDoubtful && ask(checkNotNull(known))) return true
+        return isAnyLeading(group.servers.filter { isDoubtful || it !== known })
+    }
+
+    /** Asks all [servers] at once and returns with the first proof. */
+    private suspend fun isAnyLeading(servers: List<GroupServer>): Boolean {
+        val answers = Channel<Boolean>(servers.size.coerceAtLeast(1))
+        servers.forEach { context.scope.launch { answers.send(ask(it)) } }
+        repeat(servers.size) { if (answers.receive()) return true }
+        return false
     }
 
     private suspend fun ask(server: GroupServer): Boolean {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.evidence.Certificate
 import org.yuccawind.core.evidence.EvidenceBook
+import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.LinkPool
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.model.BackendServerName
@@ -48,6 +49,22 @@
     var leader: GroupServer? = null
         private set
 
+    /** The server that led last, whether it still does or not; null before the first. */
+    var lastLeader: GroupServer? = null
+        private set
+
+    private val startedAt = context.time.markNow()
+
+    /** Time since a server last proved that it leads. */
+    val silence: Duration get() = (newestEvidence?.since ?: startedAt).elapsedNow()
+
+    /**
+     * True when no server has proved to lead for a while and none is about to: the last primary
+     * does not answer. One that answers that it leads no more is being replaced, which is soon over.
+     */
+    val isSilent: Boolean
+        get() = silence >= SILENCE_LIMIT && lastLeader?.isDenying(SILENCE_LIMIT) != true
+
     /** All registered servers. */
     val servers: Collection<GroupServer> get() = byName.values
 
@@ -73,11 +90,13 @@
         // An older leader's answer can be late; it proves nothing about the newer term.
         if (newest != null && newest.end.term > end.term) return
         if (leader !== server) lead(server, end)
+        server.noteLead()
         book.certify(Certificate(server.name, end, since))
     }
 
     /** Takes in that [server] refused what only a primary runs. */
     fun noteNotLeading(server: GroupServer) {
+        server.noteDenial()
         if (leader !== server) return
         leader = null
         context.log.record("leader_lost", "service" to service, "server" to server.name)
@@ -89,6 +108,7 @@
      */
     suspend fun pointSince(since: ComparableTimeMark, patience: Duration): LogPoint? {
         book.pointWithin(since.elapsedNow())?.let { return it }
+        if (isSilent) return null
         return withTimeoutOrNull(patience) {
             var point: LogPoint? = null
             while (point == null) {
@@ -102,13 +122,25 @@
     /** The primary, looked for when it is not known; null when none was found in [patience]. */
     suspend fun awaitLeader(patience: Duration): GroupServer? {
         leader?.takeIf { it.failingSince == null }?.let { return it }
+        if (isSilent) return null
         return withTimeoutOrNull(patience) {
             while (!probe.run()) delay(SEARCH_PAUSE)
             leader
         }
     }
 
-    /** Servers for a read, the one expected to answer first in front; leaving ones only if alone. */
+    /** Asks who leads; true when a server proved it. */
+    suspend fun probeLeader(): Boolean = probe.run()
+
+    /** How [server] says that it stands; null when it did not within [limit]. */
+    suspend fun report(server: GroupServer, limit: Duration): ServerReport? =
+        reportAfter(server, LinkCommand.Status, limit)
+
+    /** Makes [primary] a replica if its term is below [term]; its report after that, or null. */
+    suspend fun stepDown(primary: GroupServer, term: Long, limit: Duration): ServerReport? =
+        reportAfter(primary, LinkCommand.StepDown(term), limit)
+
+    /** Servers for a read, the soonest expected answer first; leaving ones only if alone. */
     fun readers(): List<GroupServer> {
         val staying = servers.filter { !it.member.isLeaving }
         return staying.ifEmpty { servers }.sortedWith(
@@ -129,6 +161,21 @@
     /** Closes all connections. */
     fun close() = servers.toList().forEach(::remove)
 
+    private suspend fun reportAfter(
+        server: GroupServer,
+        command: LinkCommand,
+        limit: Duration
+    ): ServerReport? {
+        val link = server.acquire(limit)?.getOrNull() ?: return null
+        try {
+            val replies = withTimeoutOrNull(limit) { server.exchange(link, listOf(command)) }
+            if (replies == null) link.close()
+            return replies?.getOrNull()?.last()?.report
+        } finally {
+            server.release(link)
+        }
+    }
+
     private fun add(member: GroupMember) {
         val pool = LinkPool(
             scope = context.scope,
@@ -161,6 +208,7 @@
 
     private fun lead(server: GroupServer, end: LogPoint) {
         leader = server
+        lastLeader = server
         context.log.record(
             "leader_found",
             "service" to service,
@@ -172,5 +220,8 @@
     private companion object {
         /** Unused connections kept to each server, so that a burst of two does not wait for one. */
         const val LINK_FLOOR = 2
+
+        /** Time without a proof after which a group counts as silent: two lost probes. */
+        val SILENCE_LIMIT = 900.milliseconds
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
@@ -24,6 +24,7 @@
     private var values: Map<String, String> = emptyMap()
     private val prepared = LinkedHashMap<PreparedShape, String>()
     private var namesGiven = 0
+    private var isImageKnown = true
 
     /** End of the server's log in its newest answer on this link; null before the first. */
     var position: LogPoint? = link.firstPosition
@@ -59,7 +60,7 @@
 
     /** Commands that bring the link to the state of [image]; assumes that they will succeed. */
     fun imprint(image: SessionImage): List<LinkCommand> {
-        if (isIdle && prepared.size >= MAX_PREPARED) return replaceBy(image)
+        if (isIdle && (!isImageKnown || prepared.size >= MAX_PREPARED)) return replaceBy(image)
         if (values == image.values) return emptyList()
         if (isIdle && !image.values.keys.containsAll(values.keys)) return replaceBy(image)
         val changed = image.values.filter { values[it.key] != it.value }
@@ -68,19 +69,47 @@
     }
 
     /** Sends [commands] in one batch and returns their answers. */
-    suspend fun exchange(commands: List<LinkCommand>): Either<LinkLost, List<LinkReply>> =
-        link.exchange(commands).onRight { replies -> replies.forEach(::note) }
+    suspend fun exchange(commands: List<LinkCommand>): Either<LinkLost, List<LinkReply>> {
+        val wasIdle = isIdle
+        return link.exchange(commands).onRight { replies ->
+            replies.forEach(::note)
+            if (commands.zip(replies).any { isInDoubt(it.first, it.second, wasIdle) }) {
+                isImageKnown = false
+            }
+        }
+    }
 
     /** Closes the connection. */
     fun close() = link.close()
 
     private fun replaceBy(image: SessionImage): List<LinkCommand> {
         prepared.clear()
+        isImageKnown = true
         values = image.values
         return listOf(LinkCommand.Reset) +
             image.values.map { LinkCommand.SetValue(it.key, it.value) }
     }
 
+    /**
+     * True when the server's side may differ from what is noted here: it refused a command that
+     * lays the image, as a primary that was replaced does inside a transaction, or it may undo the
+     * command together with the transaction that it was part of.
+     */
+    private fun isInDoubt(command: LinkCommand, reply: LinkReply, wasIdle: Boolean) =
+        when (command) {
+            is LinkCommand.Prepare, is LinkCommand.SetValue, LinkCommand.Reset ->
+                !reply.isDone || !wasIdle
+
+            is LinkCommand.Begin,
+            is LinkCommand.Commit,
+            is LinkCommand.Execute,
+            is LinkCommand.Forward,
+            is LinkCommand.StepDown,
+            LinkCommand.Rollback,
+            LinkCommand.Status
+            -> false
+        }
+
     private fun note(reply: LinkReply) {
         answeredAt = time.markNow()
         state = reply.state
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -0,0 +1,151 @@
+package org.yuccawind.core.primary
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccawind.core.group.GroupServer
+import org.yuccawind.core.group.ServerGroup
+import org.yuccawind.core.group.ServerReport
+import org.yuccawind.core.model.BackendServerName
+import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.port.DecisionLog
+
+/** Time for a server to say how it stands; it may wait for a statement slot. */
+private val REPORT_LIMIT = 400.milliseconds
+
+/** Time for the chosen server to receive all that a primary which stepped down has written. */
+private val CATCH_UP_LIMIT = 800.milliseconds
+
+/** Pause between two looks at a server that catches up. */
+private val CATCH_UP_PAUSE = 15.milliseconds
+
+/** Pause before an order that got no answer is sent again. */
+private val ORDER_PAUSE = 100.milliseconds
+
+/** Time for a promoted server to lead: twice what the platform usually takes. */
+private val TAKE_OVER_LIMIT = 1_500.milliseconds
+
+/** Pause between two searches for the new primary. */
+private val SEARCH_PAUSE = 30.milliseconds
+
+/** Carries a change of primary out, by an order to the platform. */
+class PrimaryChange(
+    private val duty: PromotionDuty,
+    private val orders: PrimaryOrders,
+    private val log: DecisionLog
+) {
+    /** Replaces a primary that does not work; true when another server leads. */
+    suspend fun replace(group: ServerGroup): Boolean {
+        val claim = duty.ensure() ?: return false
+        val choice = choose(group, reportsOf(group, group.servers)) ?: return false
+        return promote(group, choice, claim)
+    }
+
+    /** Replaces a primary that works and leaves, without losing a commit. */
+    suspend fun handOver(group: ServerGroup): Boolean {
+        val primary = group.leader ?: return false
+        val claim = duty.ensure() ?: return false
+        val others = group.servers.filter { it !== primary }
+        val choice = choose(group, reportsOf(group, others)) ?: return false
+        val end = stepDown(group, primary)
+        if (end != null) awaitReceived(group, choice, end)
+        return promote(group, choice, claim)
+    }
+
+    private suspend fun stepDown(group: ServerGroup, primary: GroupServer): LogPoint? {
+        val term = (group.newestEvidence?.end?.term ?: return null) + 1
+        val report = group.stepDown(primary, term, REPORT_LIMIT)
+        log.record(
+            "primary_stepped_down",
+            "service" to group.service,
+            "server" to primary.name,
+            "term" to term,
+            "received" to report?.received
+        )
+        group.noteNotLeading(primary)
+        return report?.received
+    }
+
+    private suspend fun awaitReceived(group: ServerGroup, server: GroupServer, end: LogPoint) {
+        val isReached = withTimeoutOrNull(CATCH_UP_LIMIT) {
+            while (true) {
+                val received = group.report(server, REPORT_LIMIT)?.received
+                if (received != null && received >= end) break
+                delay(CATCH_UP_PAUSE)
+            }
+        } != null
+        log.record(
+            "successor_caught_up",
+            "service" to group.service,
+            "server" to server.name,
+            "position" to end,
+            "reached" to isReached
+        )
+    }
+
+    private suspend fun reportsOf(
+        group: ServerGroup,
+        servers: Collection<GroupServer>
+    ): Map<GroupServer, ServerReport> = coroutineScope {
+        servers.map { it to async { group.report(it, REPORT_LIMIT) } }
+            .mapNotNull { (server, report) -> report.await()?.let { server to it } }
+            .toMap()
+    }
+
+    /** The server whose log reaches furthest, of those that stay if any does. */
+    private fun choose(
+        group: ServerGroup,
+        reports: Map<GroupServer, ServerReport>
+    ): GroupServer? {
+        val staying = reports.filterKeys { !it.member.isLeaving }.ifEmpty { reports }
+        val choice = staying.maxByOrNull { it.value.received }?.key
+        log.record(
+            "successor_chosen",
+            "service" to group.service,
+            "server" to choice?.name,
+            "reports" to reports.entries.joinToString(";") { "${it.key.name}=${it.value.received}" },
+            "sync_replicas" to group.settings.syncReplicas
+        )
+        return choice
+    }
+
+    private suspend fun promote(
+        group: ServerGroup,
+        choice: GroupServer,
+        claim: DutyClaim
+    ): Boolean {
+        val name = choice.name
+        while (claim.validUntil.hasNotPassedNow()) {
+            val outcome = orders.promote(group.service, name, claim.token)
+            log.record(
+                "promotion_ordered",
+                "service" to group.service,
+                "server" to name,
+                "token" to claim.token,
+                "outcome" to outcome
+            )
+            when (outcome) {
+                OrderOutcome.Accepted -> return awaitLead(group, name)
+
+                is OrderOutcome.Refused -> {
+                    duty.drop(claim)
+                    return false
+                }
+
+                is OrderOutcome.NoAnswer, is OrderOutcome.Unavailable -> delay(ORDER_PAUSE)
+            }
+        }
+        return false
+    }
+
+    private suspend fun awaitLead(group: ServerGroup, name: BackendServerName): Boolean {
+        val limit: Duration = TAKE_OVER_LIMIT
+        return withTimeoutOrNull(limit) {
+            while (group.leader?.name != name || !group.probeLeader()) delay(SEARCH_PAUSE)
+            true
+        } ?: false
+    }
+}
--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/log/LogOutput.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/log/LogOutput.kt
@@ -4,7 +4,7 @@
 import org.slf4j.LoggerFactory
 
 /** The way of log lines to standard output. */
-internal object LogOutput {
+object LogOutput {
     /** Writes every line that still waits; nothing is logged afterwards. */
     fun close() {
         (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
--- /dev/null
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -0,0 +1,82 @@
+package org.yuccawind.standins.wire
+
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import org.yuccawind.standins.database.DatabaseFaults
+import org.yuccawind.standins.database.DatabaseModel
+import org.yuccawind.standins.database.DatabaseSettings
+
+/**
+ * A database that speaks the line protocol and whose changes of primary are ordered from outside.
+ *
+ * @property service name of its group
+ * @property name its identity
+ * @property settings its sizes
+ */
+class WireDatabase(
+    val service: String,
+    val name: String,
+    val settings: DatabaseSettings,
+    time: TimeSource.WithComparableMarks
+) {
+    private val faults = MutableStateFlow(DatabaseFaults())
+    private val slots = Semaphore(settings.slots)
+    private val open = AtomicInteger()
+    private val nextConnection = AtomicLong()
+    private val nextTransaction = AtomicLong()
+
+    internal val model = DatabaseModel(time)
+
+    /** What clients' statements ran here, in order. */
+    val runs = CopyOnWriteArrayList<WireRun>()
+
+    /** Connections open now. */
+    val connections get() = open.get()
+
+    /** Replication lag in force. */
+    val lag get() = faults.value.lagMs?.milliseconds ?: settings.lag
+
+    /** True while this server leads its group. */
+    val isLeading get() = model.status().isPrimary
+
+    /** Sets the fault switches. */
+    fun inject(next: DatabaseFaults) {
+        faults.value = next
+    }
+
+    /** A new connection. */
+    fun connect() = WireSession(this, nextConnection.incrementAndGet(), faults.value.silence)
+
+    /** Waits while the server, or the connection of [epoch], is silent. */
+    internal suspend fun awaitVoice(epoch: Int) {
+        faults.first { !it.frozen }
+        if (faults.value.silence > epoch) awaitCancellation()
+    }
+
+    /** Takes one of the places for connections; false when all are taken. */
+    internal fun admit(): Boolean {
+        if (open.incrementAndGet() <= settings.connections) return true
+        open.decrementAndGet()
+        return false
+    }
+
+    internal fun leave() {
+        open.decrementAndGet()
+    }
+
+    internal fun newTransaction() = nextTransaction.incrementAndGet()
+
+    internal suspend fun <T> inSlot(block: () -> T): T = slots.withPermit {
+        delay(settings.statementTime)
+        block()
+    }
+}
--- /dev/null
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -0,0 +1,206 @@
+package org.yuccawind.standins.wire
+
+import java.util.concurrent.atomic.AtomicBoolean
+import org.yuccawind.core.model.LogPoint
+
+/** One connection to a [WireDatabase]: lines in, lines out. */
+class WireSession internal constructor(
+    private val database: WireDatabase,
+    private val connection: Long,
+    private val epoch: Int
+) {
+    private val values = LinkedHashMap<String, String>()
+    private val prepared = HashMap<String, String>()
+    private var transaction: Transaction? = null
+    private var isStarted = false
+    private val isClosed = AtomicBoolean()
+
+    /** The lines that answer [line]; null when the connection is closed after what came before. */
+    suspend fun handle(line: String): List<String> {
+        database.awaitVoice(epoch)
+        val fields = line.split(' ', limit = QUERY_FIELDS)
+        val answer = when {
+            !isStarted -> start(line.split(' '))
+            fields[0] == "QUERY" && fields.size == QUERY_FIELDS -> query(fields[1], fields[2])
+            else -> listOf("ERROR MALFORMED expected QUERY")
+        }
+        database.awaitVoice(epoch)
+        return answer
+    }
+
+    /** Ends the connection; an open transaction is rolled back. */
+    fun close() {
+        if (isClosed.compareAndSet(false, true) && isStarted) database.leave()
+    }
+
+    private fun start(fields: List<String>): List<String> = when {
+        fields.getOrNull(1) != database.service -> listOf("ERROR MISROUTED ${database.name}")
+
+        fields.size > START_ID && fields[START_ID] != database.name ->
+            listOf("ERROR MISROUTED ${database.name}")
+
+        !database.admit() -> listOf("ERROR TOOMANY ${database.name}")
+
+        else -> {
+            isStarted = true
+            listOf(ready())
+        }
+    }
+
+    private suspend fun query(id: String, text: String): List<String> {
+        val after = if (text.startsWith("AFTER ")) text.split(' ')[1] else null
+        val statement = if (after == null) text else text.split(' ', limit = AFTER_FIELDS)[2]
+        val point = after?.let(LogPoint::parse)
+        val result = when {
+            transaction?.isFailed == true -> inFailedTransaction(statement)
+            point != null && end().position < point.position -> error("LAGGING")
+            else -> run(id, statement)
+        }
+        return result + ready()
+    }
+
+    private fun inFailedTransaction(statement: String) = when (statement) {
+        "ROLLBACK", "COMMIT" -> {
+            transaction = null
+            done()
+        }
+
+        else -> error("MALFORMED")
+    }
+
+    private suspend fun run(id: String, statement: String): List<String> {
+        val words = statement.split(' ')
+        if (hasLostLead() && words[0] !in ENDINGS) {
+            transaction?.isFailed = true
+            return error("READONLY")
+        }
+        return when (words[0]) {
+            "BEGIN" -> begin(isReadOnly = words.size > 1)
+            "ROLLBACK" -> done().also { transaction = null }
+            "COMMIT" -> commit(id)
+            "SET" -> done().also { values[words[1]] = statement.substringAfter(words[1] + " ") }
+            "PREPARE" -> done().also { prepared[words[1]] = words.drop(2).joinToString(" ") }
+            "RESET" -> reset()
+            "STATUS" -> status()
+            "STEPDOWN" -> stepDown(words[1].toLong())
+            "READ" -> runWork(id, statement, "get ${words[1]}")
+            "WRITE" -> runWork(id, statement, "put ${words[1]} ${words.drop(2).joinToString(" ")}")
+            "EXECUTE" -> execute(id, words)
+            else -> error("MALFORMED")
+        }
+    }
+
+    private fun begin(isReadOnly: Boolean): List<String> {
+        if (!isReadOnly && !database.isLeading) return error("READONLY")
+        transaction = Transaction(database.newTransaction(), isReadOnly)
+        return done()
+    }
+
+    private suspend fun execute(id: String, words: List<String>): List<String> {
+        val shape = prepared[words[1]] ?: return error("NOSTMT")
+        val command = if (shape.startsWith("READ")) {
+            "get ${words[2]}"
+        } else {
+            "put ${words[2]} ${words.drop(EXECUTE_DATA).joinToString(" ")}"
+        }
+        return runWork(id, "$shape ${words.drop(2).joinToString(" ")}", command)
+    }
+
+    private suspend fun runWork(id: String, text: String, command: String): List<String> {
+        if (id == NO_ID) return error("MALFORMED")
+        val isWrite = command.startsWith("put")
+        if (isWrite && !database.isLeading) return error("READONLY")
+        return database.inSlot {
+            note(id, text)
+            val open = transaction
+            when {
+                !isWrite -> database.model.query(open?.writes.orEmpty() + command).rows
+                    .map { "ROW $it" } + receipt(id)
+
+                open != null -> receipt(id).also { open.writes += command }
+
+                else -> receipt(id).also { commitNow(listOf(command)) }
+            }
+        }
+    }
+
+    private suspend fun commit(id: String): List<String> {
+        val open = transaction ?: return error("MALFORMED")
+        if (id == NO_ID) return error("MALFORMED")
+        transaction = null
+        if (open.writes.isNotEmpty() && !database.isLeading) return error("READONLY")
+        return database.inSlot {
+            note(id, "COMMIT", open)
+            if (open.writes.isNotEmpty()) commitNow(open.writes)
+            receipt(id)
+        }
+    }
+
+    private fun commitNow(commands: List<String>) {
+        database.model.commit(database.model.status().fence, commands, null)
+    }
+
+    private fun note(id: String, text: String, within: Transaction? = transaction) {
+        database.runs += WireRun(
+            server = database.name,
+            connection = connection,
+            id = id,
+            text = text,
+            values = values.toMap(),
+            transaction = within?.number,
+            position = end()
+        )
+    }
+
+    private fun reset(): List<String> {
+        values.clear()
+        prepared.clear()
+        return done()
+    }
+
+    private fun status(): List<String> {
+        val role = if (database.isLeading) "primary" else "replica"
+        val term = end().term
+        return listOf("ROW $role $term ${end()} 0 0 0 ${database.connections}") + done()
+    }
+
+    private fun stepDown(term: Long): List<String> {
+        if (term > database.model.status().fence) database.model.fence(term)
+        return status()
+    }
+
+    private fun hasLostLead(): Boolean {
+        val open = transaction ?: return false
+        return !open.isReadOnly && !database.isLeading
+    }
+
+    private fun receipt(id: String) = listOf("DONE ${database.name}.$id")
+
+    private fun done() = listOf("DONE $NO_ID")
+
+    private fun error(code: String) = listOf("ERROR $code ${database.name}")
+
+    private fun ready() = "READY ${state()} ${end()}"
+
+    private fun state() = when {
+        transaction == null -> "I"
+        transaction?.isFailed == true -> "E"
+        else -> "T"
+    }
+
+    private fun end() = database.model.status().end
+
+    private class Transaction(val number: Long, val isReadOnly: Boolean) {
+        val writes = ArrayList<String>()
+        var isFailed = false
+    }
+
+    private companion object {
+        const val NO_ID = "-"
+        const val QUERY_FIELDS = 3
+        const val START_ID = 3
+        const val AFTER_FIELDS = 3
+        const val EXECUTE_DATA = 3
+        val ENDINGS = setOf("ROLLBACK", "COMMIT")
+    }
+}
