--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -174,7 +174,8 @@
         while (remaining() > Duration.ZERO) {
             val server = group.awaitLeader(remaining()) ?: return null
             val pin = open(server) { listOf(LinkCommand.Begin(isReadOnly = false)) }
-            if (pin != null) return pin
+            if (pin != null && isCurrent(pin)) return pin
+            pin?.let { discard(it) }
             delay(BUSY_PAUSE)
         }
         return null
@@ -198,6 +199,10 @@
 
     private fun remaining() = -deadline.elapsedNow()
 
+    /** A new primary may still apply what it received; its own reads would miss that. */
+    private fun isCurrent(pin: Pin) =
+        pin.link.position?.let { group.isCurrent(pin.server, it) } == true
+
     private suspend fun open(server: GroupServer, begin: () -> List<LinkCommand>): Pin? {
         val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull() ?: return null
         val sentAt = context.time.markNow()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupMember.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupMember.kt
@@ -15,7 +15,6 @@
  * @property isLeaving true once it has announced that it goes
  * @property startedAtMs start of its process in Unix milliseconds; 0 when it told none. A server
  *   may start again under the same name, with another log.
- * @property heartbeat counter that rises while the server reaches the platform
  */
 data class GroupMember(
     val name: BackendServerName,
@@ -24,8 +23,7 @@
     val role: ServerRole,
     val slots: Int,
     val isLeaving: Boolean,
-    val startedAtMs: Long,
-    val heartbeat: Long
+    val startedAtMs: Long
 ) {
     /** True when [other] is the same process at the same place. */
     fun isSameProcess(other: GroupMember) =
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -34,17 +34,10 @@
 ) {
     /** The newest registration. */
     var member: GroupMember = member
-        internal set(value) {
-            if (value.heartbeat != field.heartbeat) heartbeatAt = time.markNow()
-            field = value
-        }
+        internal set
 
-    private var heartbeatAt = time.markNow()
     private var deniedAt: ComparableTimeMark? = null
 
-    /** Time since the registration last changed, as this instance saw it. */
-    val heartbeatAge get() = heartbeatAt.elapsedNow()
-
     /** Statements on their way to the server or running there. */
     var inFlight = 0
         private set
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.evidence.Certificate
 import org.yuccawind.core.evidence.EvidenceBook
@@ -41,13 +42,13 @@
     private val byName = LinkedHashMap<BackendServerName, GroupServer>()
     private val book = EvidenceBook(majority = 1, context.time)
     private val probe = LeaderProbe(this, context)
+    private var lead: Lead? = null
 
     /** Settings of the newest configuration. */
     var settings: GroupSettings = settings
 
     /** The server that proved last that it leads; null when that is in doubt. */
-    var leader: GroupServer? = null
-        private set
+    val leader: GroupServer? get() = lead?.server
 
     /** The server that led last, whether it still does or not; null before the first. */
     var lastLeader: GroupServer? = null
@@ -56,7 +57,9 @@
     private val startedAt = context.time.markNow()
 
     /** Time since a server last proved that it leads. */
-    val silence: Duration get() = (newestEvidence?.since ?: startedAt).elapsedNow()
+    val silence: Duration get() = (provedAt ?: startedAt).elapsedNow()
+
+    private var provedAt: ComparableTimeMark? = null
 
     /**
      * True when no server has proved to lead for a while and none is about to: the last primary
@@ -86,19 +89,27 @@
 
     /** Takes in that [server] led when it answered a question sent at [since], with log [end]. */
     fun certify(server: GroupServer, end: LogPoint, since: ComparableTimeMark) {
-        val newest = newestEvidence
-        // An older leader's answer can be late; it proves nothing about the newer term.
-        if (newest != null && newest.end.term > end.term) return
-        if (leader !== server) lead(server, end)
+        if (provedAt?.let { it >= since } == true && leader !== server) return
+        if (lead?.isContinuedBy(server, end) != true) follow(server, end)
+        provedAt = maxOf(provedAt ?: since, since)
         server.noteLead()
-        book.certify(Certificate(server.name, end, since))
+        if (isCurrent(server, end)) book.certify(Certificate(server.name, end, since))
+    }
+
+    /**
+     * True when [server] leads and its log, which ends at [end] as far as it is applied, holds all
+     * that the server had received when it took the lead.
+     */
+    fun isCurrent(server: GroupServer, end: LogPoint): Boolean {
+        val floor = lead?.takeIf { it.server === server }?.floor ?: return false
+        return end.position >= floor.position
     }
 
     /** Takes in that [server] refused what only a primary runs. */
     fun noteNotLeading(server: GroupServer) {
         server.noteDenial()
         if (leader !== server) return
-        leader = null
+        lead = null
         context.log.record("leader_lost", "service" to service, "server" to server.name)
     }
 
@@ -201,14 +212,16 @@
 
     private fun remove(server: GroupServer) {
         byName.remove(server.name)
-        if (leader === server) leader = null
+        if (leader === server) lead = null
         server.close()
         context.log.record("server_removed", "service" to service, "server" to server.name)
     }
 
-    private fun lead(server: GroupServer, end: LogPoint) {
-        leader = server
+    private fun follow(server: GroupServer, end: LogPoint) {
+        val next = Lead(server, end.term)
+        lead = next
         lastLeader = server
+        context.scope.launch { findFloor(next) }
         context.log.record(
             "leader_found",
             "service" to service,
@@ -217,10 +230,43 @@
         )
     }
 
+    /** A server can take the lead before it has applied all that it received. */
+    private suspend fun findFloor(current: Lead) {
+        while (lead === current) {
+            val received = report(current.server, REPORT_LIMIT)?.received
+            if (received != null) {
+                current.floor = received
+                return
+            }
+            delay(SEARCH_PAUSE)
+        }
+    }
+
+    /**
+     * The lead of one server.
+     *
+     * @property term term of its log when it was found to lead
+     * @property floor end of what it had received by then, applied or not; null until it is known
+     */
+    private class Lead(val server: GroupServer, var term: Long, var floor: LogPoint? = null) {
+        /**
+         * True when [other] with its log at [end] goes on with this lead. The term of the log rises
+         * by one with the first write of a lead; by more when another server led in between.
+         */
+        fun isContinuedBy(other: GroupServer, end: LogPoint): Boolean {
+            if (other !== server || end.term > term + 1) return false
+            term = maxOf(term, end.term)
+            return true
+        }
+    }
+
     private companion object {
         /** Unused connections kept to each server, so that a burst of two does not wait for one. */
         const val LINK_FLOOR = 2
 
+        /** Time for a report, which may wait for a statement slot. */
+        val REPORT_LIMIT = 300.milliseconds
+
         /** Time without a proof after which a group counts as silent: two lost probes. */
         val SILENCE_LIMIT = 900.milliseconds
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -101,7 +101,8 @@
         reports: Map<GroupServer, ServerReport>
     ): GroupServer? {
         val staying = reports.filterKeys { !it.member.isLeaving }.ifEmpty { reports }
-        val choice = staying.maxByOrNull { it.value.received }?.key
+        val choice = staying.entries
+            .maxWithOrNull(compareBy({ it.value.received }, { it.key.position }))?.key
         log.record(
             "successor_chosen",
             "service" to group.service,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
@@ -8,8 +8,7 @@
  * @property silence time since a server last proved that it leads
  * @property isLeaving true when the primary has announced that it goes
  * @property hasSuccessor true when another server stays
- * @property heartbeatAge time since the primary's registration last changed, of which only the time
- *   counts in which the registrations could be read; null when the primary is not registered
+ * @property isRegistered true while the primary is registered, or may be
  * @property areRegistrationsCurrent true when the registrations were read lately
  * @property denials servers that answered lately that they do not lead
  * @property registered servers registered
@@ -18,7 +17,7 @@
     val silence: Duration,
     val isLeaving: Boolean,
     val hasSuccessor: Boolean,
-    val heartbeatAge: Duration?,
+    val isRegistered: Boolean,
     val areRegistrationsCurrent: Boolean,
     val denials: Int,
     val registered: Int
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
@@ -5,17 +5,17 @@
 /** Silence after which a primary is in doubt: several lost probes. */
 private val DOUBT_AFTER = 900.milliseconds
 
-/** Age of a registration that shows a dead server: two heartbeats, a poll and the list's lag. */
-private val HEARTBEAT_LIMIT = 3_000.milliseconds
-
 /** What follows from [PrimaryFacts]. */
 sealed interface PrimaryVerdict {
     /** The primary works as far as is known. */
     data object Trusted : PrimaryVerdict
 
-    /** The primary is in doubt and [reason] speaks against replacing it yet. */
+    /** The primary is in doubt and nothing can be done for [reason]. */
     data class Waiting(val reason: String) : PrimaryVerdict
 
+    /** The primary does not answer here; whether it fails is for most instances to say. */
+    data object Doubted : PrimaryVerdict
+
     /** The primary works and is to be replaced before it goes. */
     data object HandOver : PrimaryVerdict
 
@@ -34,11 +34,9 @@
 
             facts.denials == facts.registered -> Replace("every server denies to lead")
 
-            facts.heartbeatAge == null -> Replace("the primary is not registered")
-
-            facts.heartbeatAge >= HEARTBEAT_LIMIT -> Replace("the primary is silent")
+            !facts.isRegistered -> Replace("the primary is not registered")
 
-            else -> Waiting("the primary still reports to the platform")
+            else -> Doubted
         }
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
@@ -1,22 +1,24 @@
 package org.yuccawind.core.primary
 
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.delay
-import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.RegistryView
 import org.yuccawind.core.group.ServerGroup
+import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.port.DecisionLog
 
 /** Pause between two looks at a group. */
 private val CHECK_PERIOD = 100.milliseconds
 
 /** Time that each rank leaves to the instances before it, above the time of a claim. */
-private val RANK_STAGGER = 120.milliseconds
+private val RANK_STAGGER = 100.milliseconds
 
 /** Instances among which ranks are spread. */
 private const val RANKS = 8
 
+/** Time in which the other instances find out about a failure as well: half a probe period. */
+private val POST_TIME = 200.milliseconds
+
 /** Pause after another instance was found to have the duty, or an order failed. */
 private val RETRY_PAUSE = 500.milliseconds
 
@@ -26,39 +28,77 @@
 /**
  * Watches the primary of one group and has it replaced when it fails or leaves.
  *
- * Every instance watches; the lease decides which one acts, and ranks keep most of the others from
- * asking for it at the same moment.
+ * Every instance watches. A primary that is merely out of reach is replaced when most instances say
+ * so. The lease decides which of them acts, and ranks keep most of the others from asking for it at
+ * the same moment.
  */
 class PrimaryWatch(
     private val group: ServerGroup,
     private val registry: RegistryView,
     private val change: PrimaryChange,
+    private val board: DoubtBoard,
     private val instance: String,
     private val log: DecisionLog
 ) {
     private var verdict: PrimaryVerdict = PrimaryVerdict.Trusted
+    private var posted: BackendServerName? = null
 
     /** Watches until cancelled. */
     suspend fun run() {
         while (true) {
             delay(CHECK_PERIOD)
             val next = decide()
-            if (next is PrimaryVerdict.Replace || next is PrimaryVerdict.HandOver) act(next)
+            if (next is PrimaryVerdict.Doubted) post() else withdraw()
+            if (isAction(next)) act(next)
         }
     }
 
+    private fun isAction(verdict: PrimaryVerdict) = when (verdict) {
+        PrimaryVerdict.Doubted, PrimaryVerdict.HandOver, is PrimaryVerdict.Replace -> true
+        PrimaryVerdict.Trusted, is PrimaryVerdict.Waiting -> false
+    }
+
     private suspend fun act(first: PrimaryVerdict) {
         delay(RANK_STAGGER * rank())
         val again = decide()
         if (again::class != first::class) return
         val isDone = when (again) {
-            is PrimaryVerdict.Replace -> change.replace(group)
+            PrimaryVerdict.Doubted -> isDoubtShared() && change.replace(group)
             PrimaryVerdict.HandOver -> change.handOver(group)
+            is PrimaryVerdict.Replace -> change.replace(group)
             PrimaryVerdict.Trusted, is PrimaryVerdict.Waiting -> true
         }
         if (!isDone) delay(RETRY_PAUSE)
     }
 
+    private suspend fun post() {
+        val primary = group.lastLeader?.name ?: return
+        if (posted != primary) log.record("doubt_posted", "service" to group.service, "server" to primary)
+        val isFirst = posted != primary
+        posted = primary
+        board.post(group.service, primary)
+        if (isFirst) delay(POST_TIME)
+    }
+
+    private suspend fun withdraw() {
+        if (posted == null) return
+        posted = null
+        board.withdraw(group.service)
+    }
+
+    private suspend fun isDoubtShared(): Boolean {
+        val primary = posted ?: return false
+        val tally = board.tally(group.service, primary) ?: return false
+        log.record(
+            "doubt_tallied",
+            "service" to group.service,
+            "server" to primary,
+            "doubters" to tally.doubters,
+            "instances" to tally.instances
+        )
+        return tally.isMajority
+    }
+
     private fun rank() = (instance + group.service.value).hashCode().mod(RANKS)
 
     private fun decide(): PrimaryVerdict {
@@ -71,7 +111,6 @@
                 "primary" to group.lastLeader?.name,
                 "verdict" to next,
                 "silence_ms" to facts.silence.inWholeMilliseconds,
-                "heartbeat_age_ms" to facts.heartbeatAge?.inWholeMilliseconds,
                 "denials" to facts.denials
             )
         }
@@ -85,16 +124,10 @@
             silence = group.silence,
             isLeaving = primary?.member?.isLeaving == true,
             hasSuccessor = group.servers.any { it !== primary && !it.member.isLeaving },
-            heartbeatAge = primary?.takeIf { it in group.servers }?.let(::heartbeatAge),
+            isRegistered = primary != null && primary in group.servers,
             areRegistrationsCurrent = registry.isCurrent,
             denials = group.servers.count { it.isDenying(RECENT) },
             registered = group.servers.size
         )
     }
-
-    /** A server can't report while the platform is away, so that time does not speak against it. */
-    private fun heartbeatAge(server: GroupServer): Duration {
-        val readable = registry.readableSince?.elapsedNow() ?: Duration.ZERO
-        return minOf(server.heartbeatAge, readable)
-    }
 }
