--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -186,7 +186,7 @@
         if (route.freshness == Freshness.Latest) return onLeader()
         while (remaining() > Duration.ZERO) {
             val need = ReadNeeds.find(group, route, values, arrivedAt, remaining()) ?: return null
-            for (server in group.readers()) {
+            for (server in group.readers(need.point)) {
                 val pin = open(server) { listOf(LinkCommand.Begin(true, need.point)) } ?: continue
                 // A server that missed a change of primary may hold other entries at this number.
                 if (need.isCoveredBy(pin.link.term)) return pin
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -43,7 +43,7 @@
         suspend fun run(): StatementAnswer {
             while (remaining() > Duration.ZERO) {
                 val need = ReadNeeds.find(group, route, values, arrivedAt, remaining()) ?: break
-                val server = next()
+                val server = next(need)
                 if (server == null) {
                     refusedBy.clear()
                     delay(RETRY_PAUSE)
@@ -57,7 +57,8 @@
 
         private fun remaining() = -deadline.elapsedNow()
 
-        private fun next() = group.readers().firstOrNull { it !in refusedBy }
+        private fun next(need: ReadNeed) =
+            group.readers(need.point).firstOrNull { it !in refusedBy }
 
         private suspend fun attempt(server: GroupServer, need: ReadNeed): StatementAnswer? {
             val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
+import org.yuccawind.core.evidence.EvidenceBook
 import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.LinkLost
 import org.yuccawind.core.link.LinkPool
@@ -30,7 +31,8 @@
 class GroupServer internal constructor(
     member: GroupMember,
     private val pool: LinkPool,
-    private val time: TimeSource.WithComparableMarks
+    private val time: TimeSource.WithComparableMarks,
+    private val book: EvidenceBook
 ) {
     /** The newest registration. */
     var member: GroupMember = member
@@ -123,7 +125,9 @@
     private fun noteAnswer(replies: List<LinkReply>) {
         answeredAt = time.markNow()
         failingSince = null
-        replies.lastOrNull()?.position?.let { position = it }
+        val end = replies.lastOrNull()?.position ?: return
+        position = end
+        book.noteAnswer(name, end)
     }
 
     private fun noteAnswerTime(elapsed: Duration) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -151,14 +151,24 @@
     suspend fun stepDown(primary: GroupServer, term: Long, limit: Duration): ServerReport? =
         reportAfter(primary, LinkCommand.StepDown(term), limit)
 
-    /** Servers for a read, the soonest expected answer first; leaving ones only if alone. */
-    fun readers(): List<GroupServer> {
+    /**
+     * Servers for a read that needs [point], the soonest expected answer first. Those expected to
+     * lack the point come last, and leaving ones only if there is no other.
+     */
+    fun readers(point: LogPoint): List<GroupServer> {
         val staying = servers.filter { !it.member.isLeaving }
         return staying.ifEmpty { servers }.sortedWith(
-            compareBy({ it.failingSince != null }, { it.expectedTime() })
+            compareBy({ it.failingSince != null }, { isBehind(it, point) }, { it.expectedTime() })
         )
     }
 
+    private fun isBehind(server: GroupServer, point: LogPoint): Boolean {
+        if (server === leader) return false
+        val known = server.position
+        if (known != null && known.position >= point.position) return false
+        return book.catchUpOf(server.name, point)?.let { it > Duration.ZERO } == true
+    }
+
     /** Keeps evidence young and closes unused connections until cancelled. */
     suspend fun run() {
         while (true) {
@@ -195,7 +205,7 @@
             floor = { LINK_FLOOR },
             open = { open(member.name) }
         )
-        byName[member.name] = GroupServer(member, pool, context.time)
+        byName[member.name] = GroupServer(member, pool, context.time, book)
         context.log.record(
             "server_added",
             "service" to service,
