Stand-ins of the wire and the store; sessions, changes of primary and bad input tested

Writing them found two faults, each with a test that failed first: a statement behind a refused SET was answered with MALFORMED instead of the refusal that is a promise, and a read stayed with a server that had gone silent until its time was up (TIMEOUT). Single writes now check a connection that has been quiet for 300 ms, so that a dead one costs a round trip and no unknown outcome. Ruled out: a shorter limit for reads, which would break off servers at work.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/CallResult.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/CallResult.kt
@@ -33,6 +33,13 @@
     }
     return result.fold(
         { CallResult.Lost(it.detail, it.wasSent) },
-        { CallResult.Answered(it.last()) }
+        { CallResult.Answered(outcomeOf(it)) }
     )
 }
+
+/** After a refusal the rest of a batch is refused for its sake, so the first one says why. */
+private fun outcomeOf(replies: List<LinkReply>): LinkReply {
+    val last = replies.last()
+    val first = replies.first { !it.isDone || it === last }
+    return if (last.isDone) last else first.copy(state = last.state, position = last.position)
+}
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -3,7 +3,9 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ReadNeed
 import org.yuccawind.core.group.ServerGroup
@@ -18,6 +20,15 @@
 /** Pause before servers that refused a read are asked again. */
 private val RETRY_PAUSE = 15.milliseconds
 
+/** Pause between two looks at a server that has not answered yet. */
+private val SILENCE_CHECK = 100.milliseconds
+
+/**
+ * Time without any answer of a server after which a read is sent elsewhere. It exceeds the time
+ * that a healthy server's slots are all held by long statements.
+ */
+private val SILENCE_LIMIT = 300.milliseconds
+
 /** Greatest wait for a connection to one server while others may have one. */
 private val LINK_PATIENCE = 100.milliseconds
 
@@ -49,7 +60,7 @@
                     delay(RETRY_PAUSE)
                     continue
                 }
-                attempt(server, need)?.let { return it }
+                patiently(server, need)?.let { return it }
                 refusedBy += server
             }
             return busy(refusal)
@@ -60,6 +71,22 @@
         private fun next(need: ReadNeed) =
             group.readers(need.point).firstOrNull { it !in refusedBy }
 
+        /**
+         * Asks [server], and gives up on it early when it has gone silent. The attempt itself goes
+         * on, so that a server at work is not interrupted; nobody waits for its answer.
+         */
+        private suspend fun patiently(server: GroupServer, need: ReadNeed): StatementAnswer? {
+            val attempt = context.scope.async { attempt(server, need) }
+            while (true) {
+                val answer = withTimeoutOrNull(SILENCE_CHECK) { Answer(attempt.await()) }
+                if (answer != null) return answer.value
+                if (server.isSilentFor(SILENCE_LIMIT)) {
+                    refusal = "${server.name} is silent"
+                    return null
+                }
+            }
+        }
+
         private suspend fun attempt(server: GroupServer, need: ReadNeed): StatementAnswer? {
             val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull()
             if (link == null) {
@@ -114,6 +141,8 @@
         }
     }
 
+    private class Answer(val value: StatementAnswer?)
+
     private fun isRefusalBeforeRun(code: StatementCode) = when (code) {
         StatementCode.BUSY,
         StatementCode.LAGGING,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
+import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.route.Route
 import org.yuccawind.core.statement.SessionState
@@ -16,6 +17,12 @@
 /** Pause before a write that a full server refused is offered again. */
 private val BUSY_PAUSE = 20.milliseconds
 
+/** Time for which a connection counts as working after its last answer. */
+private val UNCHECKED_LIMIT = 300.milliseconds
+
+/** Time for an answer to a check, which takes no statement slot: many round trips. */
+private val CHECK_LIMIT = 250.milliseconds
+
 /**
  * Runs writes that stand alone, on the primary. Once sent, a write is sent again only when the
  * server has answered that it did not run.
@@ -59,6 +66,7 @@
         private fun remaining() = -deadline.elapsedNow()
 
         private suspend fun ask(server: GroupServer, link: PooledLink): StatementAnswer? {
+            if (!answers(server, link)) return null
             val sentAt = context.time.markNow()
             val commands = link.imprint(values.image) + work.commandsFor(link)
             return when (val result = server.call(link, commands, remaining())) {
@@ -71,6 +79,13 @@
             }
         }
 
+        /** A write on a connection that went silent unnoticed would be of unknown outcome. */
+        private suspend fun answers(server: GroupServer, link: PooledLink): Boolean {
+            if (link.answeredAt.elapsedNow() < UNCHECKED_LIMIT) return true
+            val limit = minOf(CHECK_LIMIT, remaining())
+            return server.call(link, listOf(LinkCommand.Rollback), limit) is CallResult.Answered
+        }
+
         private fun answerOf(
             server: GroupServer,
             result: CallResult.Answered,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -57,6 +57,7 @@
         private set
 
     private var answerTime = FIRST_GUESS
+    private var busySince: ComparableTimeMark? = null
 
     /** Name of the server. */
     val name get() = member.name
@@ -87,14 +88,14 @@
         commands: List<LinkCommand>
     ): Either<LinkLost, List<LinkReply>> {
         val sentAt = time.markNow()
-        inFlight++
+        if (inFlight++ == 0) busySince = sentAt
         try {
             val result = link.exchange(commands)
             result.fold({ noteFailure() }, { noteAnswer(it) })
             if (result.isRight() && commands.any(::isWork)) noteAnswerTime(sentAt.elapsedNow())
             return result
         } finally {
-            inFlight--
+            if (--inFlight == 0) busySince = null
         }
     }
 
@@ -103,6 +104,12 @@
         if (failingSince == null) failingSince = time.markNow()
     }
 
+    /** True when the server has work from here and answered nothing for [limit]. */
+    fun isSilentFor(limit: Duration): Boolean {
+        val since = maxOf(answeredAt ?: busySince ?: return false, busySince ?: return false)
+        return since.elapsedNow() >= limit
+    }
+
     /** Takes note that the server refused what only a primary runs. */
     fun noteDenial() {
         deniedAt = time.markNow()
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/platform/PlatformModel.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/platform/PlatformModel.kt
@@ -28,6 +28,7 @@
 class PlatformModel(private val time: TimeSource.WithComparableMarks) {
     private val lock = ReentrantLock()
     private val values = TreeMap<String, StoredValue>()
+    private val removals = ArrayList<Removal>()
     private val version = MutableStateFlow(0L)
     private val faults = MutableStateFlow(PlatformFaults())
     private val listed = InstanceList(time)
@@ -76,6 +77,20 @@
         return lock.withLock { snapshot(prefix) }
     }
 
+    /** Makes [change] if all its conditions hold; the version, or null when one does not. */
+    suspend fun change(change: KeyChange): Long? {
+        val made = lock.withLock { changeNow(change) }
+        if (made != null && loseThisReply()) awaitCancellation()
+        return made
+    }
+
+    /** Waits at most [wait] for changes under [prefix] after [after]. */
+    suspend fun changesAfter(prefix: String, after: Long, wait: Duration): KeyChanges {
+        counts.watches.increment()
+        withTimeoutOrNull(wait) { version.first { changes(prefix, after).isAny } }
+        return changes(prefix, after)
+    }
+
     /** Sets the true list of instances; readers see it after the lag. */
     fun setInstances(entries: List<InstanceEntry>) = listed.set(entries)
 
@@ -95,6 +110,28 @@
         return SwapReply(true, next)
     }
 
+    private fun changeNow(change: KeyChange): Long? {
+        counts.writes.increment()
+        val isMet = change.expected.all { (key, wanted) -> (values[key]?.version ?: 0) == wanted }
+        if (!isMet) return null
+        val next = version.value + 1
+        for ((key, value) in change.puts) values[key] = StoredValue(key, value, next)
+        for (key in change.deletes) if (values.remove(key) != null) removals += Removal(key, next)
+        version.value = next
+        return next
+    }
+
+    private fun changes(prefix: String, after: Long) = lock.withLock {
+        KeyChanges(
+            version = version.value,
+            written = values(prefix).filter { it.version > after },
+            deleted = removals.filter { it.version > after && it.key.startsWith(prefix) }
+                .map { it.key }
+        )
+    }
+
+    private class Removal(val key: String, val version: Long)
+
     private fun loseThisReply(): Boolean {
         if (faults.value.loseReplies <= 0) return false
         faults.update { it.copy(loseReplies = it.loseReplies - 1) }
--- /dev/null
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabaseServer.kt
@@ -0,0 +1,64 @@
+package org.yuccawind.standins.wire
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.io.BufferedReader
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
+import kotlin.concurrent.thread
+import kotlinx.coroutines.runBlocking
+
+private val log = KotlinLogging.logger {}
+
+/** Serves a [WireDatabase] on a free loopback port, a thread for each connection. */
+class WireDatabaseServer(private val database: WireDatabase) : AutoCloseable {
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+
+    /** IP number and port. */
+    val address = "127.0.0.1:${listener.localPort}"
+
+    init {
+        thread(isDaemon = true, name = "wire-${database.name}") { accept() }
+    }
+
+    override fun close() = listener.close()
+
+    private fun accept() {
+        try {
+            while (true) {
+                val socket = listener.accept()
+                thread(isDaemon = true) { socket.use(::serve) }
+            }
+        } catch (e: SocketException) {
+            log.info { "${database.name} stopped listening: ${e.message}" }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        val session = database.connect()
+        try {
+            val reader = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+            answerAll(reader, socket, session)
+        } catch (e: SocketException) {
+            log.info { "connection to ${database.name} ended: ${e.message}" }
+        } finally {
+            session.close()
+        }
+    }
+
+    private fun answerAll(reader: BufferedReader, socket: Socket, session: WireSession) {
+        val output = socket.getOutputStream()
+        while (true) {
+            val line = reader.readLine() ?: return
+            val answer = runBlocking { session.handle(line) }
+            output.write(answer.joinToString("") { "$it\r\n" }.toByteArray(Charsets.ISO_8859_1))
+            output.flush()
+            if (answer.last().startsWith("ERROR")) return
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 64
+    }
+}
