--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -33,8 +33,11 @@
     /** Executes one statement. */
     suspend fun execute(request: StatementRequest): StatementAnswer {
         val startedAt = context.time.markNow()
-        val answer = dispatch(request)
-        StatementLog.record(context, this, request, answer, startedAt.elapsedNow())
+        val trace = StatementTrace()
+        val answer = dispatch(request, trace)
+        val elapsed = startedAt.elapsedNow()
+        StatementLog.record(context, this, request, answer, trace, elapsed)
+        context.observer.answered(request.statement, answer.result, elapsed)
         return answer
     }
 
@@ -49,18 +52,23 @@
         transaction = null
     }
 
-    private suspend fun dispatch(request: StatementRequest): StatementAnswer {
+    private suspend fun dispatch(
+        request: StatementRequest,
+        trace: StatementTrace
+    ): StatementAnswer {
         val open = transaction
         if (open?.state == SessionState.FAILED_TRANSACTION) return afterFailure(open, request)
         return when (val statement = request.statement) {
             is Statement.Begin -> begin(statement)
-            Statement.Commit -> commit(request)
+            Statement.Commit -> commit(request, trace)
             Statement.Rollback -> rollback()
             is Statement.SetValue -> local { values.set(statement.name, statement.value) }
             is Statement.Prepare -> local { values.prepare(statement.name, statement.shape) }
             is Statement.Deallocate -> deallocate(statement)
-            is Statement.Execute -> executePrepared(request.id, statement)
-            is Statement.Direct -> run(Work.Direct(request.id, statement.access, statement.text))
+            is Statement.Execute -> executePrepared(request.id, statement, trace)
+
+            is Statement.Direct ->
+                run(Work.Direct(request.id, statement.access, statement.text), trace)
         }
     }
 
@@ -71,9 +79,12 @@
         return done()
     }
 
-    private suspend fun commit(request: StatementRequest): StatementAnswer {
+    private suspend fun commit(
+        request: StatementRequest,
+        trace: StatementTrace
+    ): StatementAnswer {
         val open = transaction ?: return malformed("no transaction is open")
-        val answer = open.commit(request.id)
+        val answer = open.commit(request.id, trace)
         transaction = null
         return answer
     }
@@ -103,17 +114,21 @@
     private fun deallocate(statement: Statement.Deallocate): StatementAnswer =
         if (values.deallocate(statement.name)) done() else noStatement(statement.name)
 
-    private suspend fun executePrepared(id: String, statement: Statement.Execute): StatementAnswer {
+    private suspend fun executePrepared(
+        id: String,
+        statement: Statement.Execute,
+        trace: StatementTrace
+    ): StatementAnswer {
         val shape = values.shapeOf(statement.name) ?: return noStatement(statement.name)
-        return run(Work.Prepared(id, shape, statement.arguments))
+        return run(Work.Prepared(id, shape, statement.arguments), trace)
     }
 
-    private suspend fun run(work: Work): StatementAnswer {
-        transaction?.let { return it.run(work) }
+    private suspend fun run(work: Work, trace: StatementTrace): StatementAnswer {
+        transaction?.let { return it.run(work, trace) }
         val current = route ?: return noDatabase()
         return when (work.access) {
-            Access.READ -> reads.run(current, work)
-            Access.WRITE -> writes.run(current, work)
+            Access.READ -> reads.run(current, work, trace)
+            Access.WRITE -> writes.run(current, work, trace)
         }
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -44,14 +44,15 @@
         private set
 
     /** Runs a statement of the transaction. */
-    suspend fun run(work: Work): StatementAnswer {
+    suspend fun run(work: Work, trace: StatementTrace): StatementAnswer {
         if (isReadOnly && work.access == Access.WRITE) {
             fail()
             return refused(StatementCode.READ_ONLY, "the transaction may only read")
         }
         val deadline = context.time.markNow() + route.statementLimit
-        val pin =
-            pin ?: pinned(deadline) ?: return failWith(StatementCode.BUSY, "no server to begin on")
+        val pin = pin ?: pinned(deadline, trace)
+            ?: return failWith(StatementCode.BUSY, "no server to begin on")
+        trace.server = pin.server.name
         if (work.access == Access.WRITE) hasWritten = true
         val commands = pin.link.imprint(values.image) + work.commandsFor(pin.link)
         return when (val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())) {
@@ -62,11 +63,12 @@
     }
 
     /** Commits under the client's [id]. The transaction is over afterwards, however it ended. */
-    suspend fun commit(id: String): StatementAnswer {
+    suspend fun commit(id: String, trace: StatementTrace): StatementAnswer {
         val deadline = context.time.markNow() + route.statementLimit
         state = SessionState.IDLE
-        val pin = pin ?: pinned(deadline)
+        val pin = pin ?: pinned(deadline, trace)
             ?: return refused(StatementCode.BUSY, "no server to begin on")
+        trace.server = pin.server.name
         val sentAt = context.time.markNow()
         val commands = listOf(LinkCommand.Commit(id))
         val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())
@@ -107,9 +109,9 @@
     /** The answer for the first statement after [abandon]; null later. */
     fun takeExpiry(): StatementAnswer? = expiry.also { expiry = null }
 
-    private suspend fun pinned(deadline: ComparableTimeMark): Pin? {
+    private suspend fun pinned(deadline: ComparableTimeMark, trace: StatementTrace): Pin? {
         val group = group ?: return null
-        val begin = TransactionBegin(context, group, values, route, deadline)
+        val begin = TransactionBegin(context, group, values, route, deadline, trace)
         pin = if (isReadOnly) begin.onReader() else begin.onLeader()
         return pin
     }
@@ -165,7 +167,8 @@
     private val group: ServerGroup,
     private val values: SessionValues,
     private val route: Route,
-    private val deadline: ComparableTimeMark
+    private val deadline: ComparableTimeMark,
+    private val trace: StatementTrace
 ) {
     private val arrivedAt = context.time.markNow()
 
@@ -186,6 +189,7 @@
         if (route.freshness == Freshness.Latest) return onLeader()
         while (remaining() > Duration.ZERO) {
             val need = ReadNeeds.find(group, route, values, arrivedAt, remaining()) ?: return null
+            trace.need = need.point
             for (server in group.readers(need.point)) {
                 val pin = open(server) { listOf(LinkCommand.Begin(true, need.point)) } ?: continue
                 // A server that missed a change of primary may hold other entries at this number.
@@ -204,7 +208,12 @@
         pin.link.position?.let { group.isCurrent(pin.server, it) } == true
 
     private suspend fun open(server: GroupServer, begin: () -> List<LinkCommand>): Pin? {
-        val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull() ?: return null
+        trace.server = server.name
+        trace.attempts++
+        val startedAt = context.time.markNow()
+        val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull()
+        trace.linkWait += startedAt.elapsedNow()
+        if (link == null) return null
         val sentAt = context.time.markNow()
         val commands = link.imprint(values.image) + begin()
         val result = server.call(link, commands, minOf(BEGIN_LIMIT, remaining()))
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
@@ -15,11 +15,13 @@
  * @property scope runs what outlives a statement
  * @property time the clock
  * @property log receives a line for each decision
+ * @property observer is told of each answer
  */
 class SessionContext(
     val config: () -> RoutingConfig,
     val groups: (ServiceName) -> ServerGroup?,
     val scope: CoroutineScope,
     val time: TimeSource.WithComparableMarks,
-    val log: DecisionLog
+    val log: DecisionLog,
+    val observer: StatementObserver = StatementObserver.NONE
 )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -35,19 +35,20 @@
 /** Runs reads that stand alone, on any server whose log is proved to hold what they must see. */
 internal class SingleRead(private val context: SessionContext, private val values: SessionValues) {
     /** Runs [work] under [route]. */
-    suspend fun run(route: Route, work: Work): StatementAnswer {
+    suspend fun run(route: Route, work: Work, trace: StatementTrace): StatementAnswer {
         val group = context.groups(route.service) ?: return busy("service ${route.service} is gone")
         val arrivedAt = context.time.markNow()
-        return Attempts(group, route, work, arrivedAt, arrivedAt + route.statementLimit).run()
+        return Attempts(group, route, work, trace, arrivedAt).run()
     }
 
     private inner class Attempts(
         private val group: ServerGroup,
         private val route: Route,
         private val work: Work,
-        private val arrivedAt: ComparableTimeMark,
-        private val deadline: ComparableTimeMark
+        private val trace: StatementTrace,
+        private val arrivedAt: ComparableTimeMark
     ) {
+        private val deadline = arrivedAt + route.statementLimit
         private val refusedBy = HashSet<GroupServer>()
         private var refusal = "no evidence of what the read must see"
 
@@ -88,7 +89,12 @@
         }
 
         private suspend fun attempt(server: GroupServer, need: ReadNeed): StatementAnswer? {
+            trace.server = server.name
+            trace.need = need.point
+            trace.attempts++
+            val startedAt = context.time.markNow()
             val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull()
+            trace.linkWait += startedAt.elapsedNow()
             if (link == null) {
                 refusal = "no connection to ${server.name}"
                 return null
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -29,16 +29,17 @@
  */
 internal class SingleWrite(private val context: SessionContext, private val values: SessionValues) {
     /** Runs [work] under [route]. */
-    suspend fun run(route: Route, work: Work): StatementAnswer {
+    suspend fun run(route: Route, work: Work, trace: StatementTrace): StatementAnswer {
         val group = context.groups(route.service)
             ?: return refused(StatementCode.BUSY, "service ${route.service} is gone")
         val deadline = context.time.markNow() + route.statementLimit
-        return Attempts(group, work, deadline).run()
+        return Attempts(group, work, trace, deadline).run()
     }
 
     private inner class Attempts(
         private val group: ServerGroup,
         private val work: Work,
+        private val trace: StatementTrace,
         private val deadline: ComparableTimeMark
     ) {
         private var refusal = StatementCode.BUSY to "no primary is known"
@@ -46,7 +47,11 @@
         suspend fun run(): StatementAnswer {
             while (remaining() > Duration.ZERO) {
                 val server = group.awaitLeader(remaining()) ?: break
+                trace.server = server.name
+                trace.attempts++
+                val startedAt = context.time.markNow()
                 val link = server.acquire(remaining())?.getOrNull()
+                trace.linkWait += startedAt.elapsedNow()
                 if (link == null) {
                     refusal = StatementCode.BUSY to "no connection to ${server.name}"
                     delay(BUSY_PAUSE)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementLog.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementLog.kt
@@ -14,6 +14,7 @@
         session: ClientSession,
         request: StatementRequest,
         answer: StatementAnswer,
+        trace: StatementTrace,
         elapsed: Duration
     ) {
         val result = answer.result
@@ -25,6 +26,10 @@
             "database" to session.database,
             "config" to context.config().version,
             "kind" to kindOf(request.statement),
+            "server" to trace.server,
+            "need" to trace.need,
+            "attempts" to trace.attempts,
+            "link_wait_ms" to trace.linkWait.inWholeMilliseconds,
             "outcome" to outcomeOf(result),
             "position" to answer.position,
             "state" to answer.state,
