--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -60,11 +60,17 @@
         if (open?.state == SessionState.FAILED_TRANSACTION) return afterFailure(open, request)
         return when (val statement = request.statement) {
             is Statement.Begin -> begin(statement)
+
             Statement.Commit -> commit(request, trace)
+
             Statement.Rollback -> rollback()
+
             is Statement.SetValue -> local { values.set(statement.name, statement.value) }
+
             is Statement.Prepare -> local { values.prepare(statement.name, statement.shape) }
+
             is Statement.Deallocate -> deallocate(statement)
+
             is Statement.Execute -> executePrepared(request.id, statement, trace)
 
             is Statement.Direct ->
@@ -79,10 +85,7 @@
         return done()
     }
 
-    private suspend fun commit(
-        request: StatementRequest,
-        trace: StatementTrace
-    ): StatementAnswer {
+    private suspend fun commit(request: StatementRequest, trace: StatementTrace): StatementAnswer {
         val open = transaction ?: return malformed("no transaction is open")
         val answer = open.commit(request.id, trace)
         transaction = null
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -154,7 +154,7 @@
         StatementCode.LAGGING,
         StatementCode.NO_SUCH_STATEMENT,
         StatementCode.READ_ONLY,
-        StatementCode.MISROUTED,
+        StatementCode.WRONG_SERVER,
         StatementCode.TOO_MANY_CONNECTIONS
         -> true
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -20,6 +20,9 @@
 /** Answer time assumed of a server that has not answered yet. */
 private val FIRST_GUESS = 15.milliseconds
 
+/** Usual time until a connection is opened or given back. */
+private val LINK_WAIT = 30.milliseconds
+
 /** Time within which an average without new answers loses half of its weight. */
 private val FORGET_PERIOD = 1_000.milliseconds
 
@@ -69,12 +72,17 @@
     fun expectedTime(): Duration {
         val age = answeredAt?.elapsedNow() ?: FORGET_PERIOD
         val memory = FORGET_PERIOD / (FORGET_PERIOD + age)
-        return answerTime * memory * (1 + inFlight + pool.waiting) / member.slots.coerceAtLeast(1)
+        val queue = 1 + inFlight + pool.waiting
+        val work = answerTime * memory * queue / member.slots.coerceAtLeast(1)
+        return if (pool.hasIdle) work else work + LINK_WAIT
     }
 
-    /** Takes a link, waiting at most [patience]. */
-    suspend fun acquire(patience: Duration): Either<OpenError, PooledLink>? {
-        val result = pool.acquire(patience)
+    /** Takes a link, waiting at most [patience]; an urgent caller goes before the others. */
+    suspend fun acquire(
+        patience: Duration,
+        isUrgent: Boolean = false
+    ): Either<OpenError, PooledLink>? {
+        val result = pool.acquire(patience, isUrgent)
         result?.onLeft { if (it is OpenError.Unreachable) noteFailure() }
         return result
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
@@ -13,6 +13,9 @@
 /** Greatest time for one server's answer: many round trips between zones. */
 private val ANSWER_LIMIT = 300.milliseconds
 
+/** Greatest wait for a connection, all of which open transactions may hold. */
+private val LINK_PATIENCE = 600.milliseconds
+
 /**
  * Finds out which server of a group leads, by opening a transaction that may write and rolling it
  * back in the same batch. It takes one round trip and no statement slot.
@@ -43,7 +46,7 @@
     }
 
     private suspend fun ask(server: GroupServer): Boolean {
-        val link = server.acquire(ANSWER_LIMIT)?.getOrNull() ?: return false
+        val link = server.acquire(LINK_PATIENCE, isUrgent = true)?.getOrNull() ?: return false
         try {
             return withTimeoutOrNull(ANSWER_LIMIT) { ask(server, link) } ?: run {
                 server.noteFailure()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/RegistryView.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/RegistryView.kt
@@ -24,7 +24,8 @@
         private set
 
     /** True when the registrations were read lately. */
-    val isCurrent get() = readableSince != null && readAt?.let { it.elapsedNow() < CURRENT_LIMIT } == true
+    val isCurrent get() = readableSince != null &&
+        readAt?.let { it.elapsedNow() < CURRENT_LIMIT } == true
 
     /** Takes in what was read at store revision [revision]; an older state is left out. */
     fun onRead(revision: Long, listed: List<Registration>) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -63,10 +63,13 @@
 
     /**
      * True when no server has proved to lead for a while and none is about to: the last primary
-     * does not answer. One that answers that it leads no more is being replaced, which is soon over.
+     * does not answer. One that answers that it leads no more is being replaced, and soon is.
      */
     val isSilent: Boolean
-        get() = silence >= SILENCE_LIMIT && lastLeader?.isDenying(SILENCE_LIMIT) != true
+        get() = silence >= SILENCE_LIMIT && !isLastLeaderAnswering
+
+    /** True unless the server that led last has failed to answer since its last answer. */
+    val isLastLeaderAnswering: Boolean get() = lastLeader?.let { it.failingSince == null } ?: false
 
     /** All registered servers. */
     val servers: Collection<GroupServer> get() = byName.values
@@ -271,8 +274,8 @@
     }
 
     private companion object {
-        /** Unused connections kept to each server, so that a burst of two does not wait for one. */
-        const val LINK_FLOOR = 2
+        /** Unused connections kept to each server: few, for all instances share its limit. */
+        const val LINK_FLOOR = 1
 
         /** Time for a report, which may wait for a statement slot. */
         val REPORT_LIMIT = 300.milliseconds
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -6,7 +6,6 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -18,7 +17,7 @@
 private val FULL_PAUSE = 100.milliseconds
 
 /** Time after which a link above the floor that nobody used is closed. */
-private val IDLE_LIMIT = 3.seconds
+private val IDLE_LIMIT = 1_500.milliseconds
 
 /**
  * The connections of this instance to one backend server. Confined to the event loop of its group.
@@ -52,11 +51,20 @@
     /** Callers that wait for a link. */
     val waiting get() = waiters.size
 
-    /** Takes a link, waiting at most [patience]; null when none came in time. */
-    suspend fun acquire(patience: Duration): Either<OpenError, PooledLink>? {
+    /** True when a caller gets a link without waiting. */
+    val hasIdle get() = idle.isNotEmpty()
+
+    /**
+     * Takes a link, waiting at most [patience]; null when none came in time. An urgent caller goes
+     * before all others.
+     */
+    suspend fun acquire(
+        patience: Duration,
+        isUrgent: Boolean = false
+    ): Either<OpenError, PooledLink>? {
         takeIdle()?.let { return it.right() }
         val waiter = CompletableDeferred<Either<OpenError, PooledLink>>()
-        waiters.addLast(waiter)
+        if (isUrgent) waiters.addFirst(waiter) else waiters.addLast(waiter)
         openForWaiters()
         var result: Either<OpenError, PooledLink>? = null
         try {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/DoubtBoard.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/DoubtBoard.kt
@@ -14,6 +14,9 @@
     /** Takes this instance's post back. */
     suspend fun withdraw(service: ServiceName)
 
+    /** Part of the instances that doubt [server], as last read; it may be seconds old. */
+    fun doubtShare(service: ServiceName, server: BackendServerName): Double
+
     /** How many instances doubt [server]; null when the board could not be read. */
     suspend fun tally(service: ServiceName, server: BackendServerName): Tally?
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -96,10 +96,7 @@
     }
 
     /** The server whose log reaches furthest, of those that stay if any does. */
-    private fun choose(
-        group: ServerGroup,
-        reports: Map<GroupServer, ServerReport>
-    ): GroupServer? {
+    private fun choose(group: ServerGroup, reports: Map<GroupServer, ServerReport>): GroupServer? {
         val staying = reports.filterKeys { !it.member.isLeaving }.ifEmpty { reports }
         val choice = staying.entries
             .maxWithOrNull(compareBy({ it.value.received }, { it.key.position }))?.key
@@ -107,7 +104,9 @@
             "successor_chosen",
             "service" to group.service,
             "server" to choice?.name,
-            "reports" to reports.entries.joinToString(";") { "${it.key.name}=${it.value.received}" },
+            "reports" to reports.entries.joinToString(";") {
+                "${it.key.name}=${it.value.received}"
+            },
             "sync_replicas" to group.settings.syncReplicas
         )
         return choice
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
@@ -10,6 +10,8 @@
  * @property hasSuccessor true when another server stays
  * @property isRegistered true while the primary is registered, or may be
  * @property areRegistrationsCurrent true when the registrations were read lately
+ * @property isAnswering true unless the last primary failed to answer since its last answer
+ * @property doubtShare part of the instances that the primary does not answer
  * @property denials servers that answered lately that they do not lead
  * @property registered servers registered
  */
@@ -19,6 +21,8 @@
     val hasSuccessor: Boolean,
     val isRegistered: Boolean,
     val areRegistrationsCurrent: Boolean,
+    val isAnswering: Boolean,
+    val doubtShare: Double,
     val denials: Int,
     val registered: Int
 )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryOrders.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryOrders.kt
@@ -9,11 +9,7 @@
      * Orders that [server] leads [service]. An order without an answer may be carried out seconds
      * later; the platform refuses it then if a higher [token] was used meanwhile.
      */
-    suspend fun promote(
-        service: ServiceName,
-        server: BackendServerName,
-        token: Long
-    ): OrderOutcome
+    suspend fun promote(service: ServiceName, server: BackendServerName, token: Long): OrderOutcome
 }
 
 /** What became of an order. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
@@ -5,6 +5,9 @@
 /** Silence after which a primary is in doubt: several lost probes. */
 private val DOUBT_AFTER = 900.milliseconds
 
+/** Part of the instances out of a working primary's reach at which another one serves better. */
+private const val WIDE_DOUBT = 0.3
+
 /** What follows from [PrimaryFacts]. */
 sealed interface PrimaryVerdict {
     /** The primary works as far as is known. */
@@ -25,8 +28,7 @@
     companion object {
         /** Decides from [facts] alone. */
         fun of(facts: PrimaryFacts): PrimaryVerdict = when {
-            facts.silence < DOUBT_AFTER ->
-                if (facts.isLeaving && facts.hasSuccessor) HandOver else Trusted
+            facts.silence < DOUBT_AFTER -> if (isToGo(facts)) HandOver else Trusted
 
             !facts.areRegistrationsCurrent -> Waiting("registrations can't be read")
 
@@ -36,7 +38,13 @@
 
             !facts.isRegistered -> Replace("the primary is not registered")
 
+            // Its connections may all be held by open transactions, so that no proof is had.
+            facts.isAnswering -> Trusted
+
             else -> Doubted
         }
+
+        private fun isToGo(facts: PrimaryFacts) =
+            facts.hasSuccessor && (facts.isLeaving || facts.doubtShare >= WIDE_DOUBT)
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
@@ -73,8 +73,10 @@
 
     private suspend fun post() {
         val primary = group.lastLeader?.name ?: return
-        if (posted != primary) log.record("doubt_posted", "service" to group.service, "server" to primary)
         val isFirst = posted != primary
+        if (isFirst) {
+            log.record("doubt_posted", "service" to group.service, "server" to primary)
+        }
         posted = primary
         board.post(group.service, primary)
         if (isFirst) delay(POST_TIME)
@@ -126,6 +128,8 @@
             hasSuccessor = group.servers.any { it !== primary && !it.member.isLeaving },
             isRegistered = primary != null && primary in group.servers,
             areRegistrationsCurrent = registry.isCurrent,
+            isAnswering = group.isLastLeaderAnswering,
+            doubtShare = primary?.let { board.doubtShare(group.service, it.name) } ?: 0.0,
             denials = group.servers.count { it.isDenying(RECENT) },
             registered = group.servers.size
         )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionDuty.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionDuty.kt
@@ -2,7 +2,6 @@
 
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.yuccawind.core.port.DecisionLog
@@ -17,11 +16,7 @@
  * This instance's claim to the duty of changing primaries, for all services. It is taken when a
  * change is needed and kept while changes go on, so a calm fleet makes no calls for it.
  */
-class PromotionDuty(
-    private val leases: DutyLeases,
-    private val time: TimeSource.WithComparableMarks,
-    private val log: DecisionLog
-) {
+class PromotionDuty(private val leases: DutyLeases, private val log: DecisionLog) {
     private val mutex = Mutex()
     private var claim: DutyClaim? = null
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/statement/StatementCode.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/statement/StatementCode.kt
@@ -19,7 +19,7 @@
     READ_ONLY(true),
 
     /** The connection reached another server than the one meant. */
-    MISROUTED(true),
+    WRONG_SERVER(true),
 
     /** The server accepts no further connection. */
     TOO_MANY_CONNECTIONS(true),
--- /dev/null
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/RegistryViewTest.kt
@@ -0,0 +1,73 @@
+package org.yuccawind.core.group
+
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.junit.jupiter.api.Test
+import org.yuccawind.core.model.AvailabilityZone
+import org.yuccawind.core.model.BackendServerName
+import org.yuccawind.core.model.ServerRole
+import org.yuccawind.core.model.ServiceName
+
+class RegistryViewTest {
+    private val time = TestTimeSource()
+    private val view = RegistryView(time)
+
+    @Test
+    fun `registrations that lapsed in an outage are kept for two seconds after it`() {
+        view.onRead(1, listOf(server("a"), server("b")))
+        time += 5.seconds
+        view.onFailure()
+        view.isCurrent shouldBe false
+        view.onRead(2, listOf(server("a")))
+        names() shouldBe setOf("a", "b")
+        time += 1.seconds
+        view.onRead(3, listOf(server("a")))
+        names() shouldBe setOf("a", "b")
+        time += 2.seconds
+        view.onRead(4, listOf(server("a")))
+        names() shouldBe setOf("a")
+    }
+
+    @Test
+    fun `a server that leaves while the platform can be read is gone at once`() {
+        view.onRead(1, listOf(server("a"), server("b")))
+        repeat(4) {
+            time += 1.seconds
+            view.onRead(2, listOf(server("a"), server("b")))
+        }
+        view.onRead(3, listOf(server("a")))
+        names() shouldBe setOf("a")
+    }
+
+    @Test
+    fun `an older state is left out`() {
+        view.onRead(5, listOf(server("a")))
+        view.onRead(4, listOf(server("b")))
+        names() shouldBe setOf("a")
+    }
+
+    @Test
+    fun `registrations that were not read for long are not current`() {
+        view.isCurrent shouldBe false
+        view.onRead(1, emptyList())
+        view.isCurrent shouldBe true
+        time += 3.seconds
+        view.isCurrent shouldBe false
+    }
+
+    private fun names() = view.registrations.map { it.member.name.value }.toSet()
+
+    private fun server(name: String) = Registration(
+        ServiceName("s"),
+        GroupMember(
+            name = BackendServerName(name),
+            address = "127.0.0.1:1",
+            zone = AvailabilityZone("z"),
+            role = ServerRole.REPLICA,
+            slots = 2,
+            isLeaving = false,
+            startedAtMs = 0
+        )
+    )
+}
--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/metrics/MetricsApi.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/metrics/MetricsApi.kt
@@ -10,7 +10,7 @@
 import java.io.ByteArrayOutputStream
 
 /** Serves the metrics in [registry] as text. */
-internal class MetricsApi(private val registry: PrometheusRegistry) {
+class MetricsApi(private val registry: PrometheusRegistry) {
     private val writer = PrometheusTextFormatWriter.create()
     private val type = MediaType.parse(writer.contentType)
 
--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/metrics/ProcessMetrics.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/metrics/ProcessMetrics.kt
@@ -8,7 +8,7 @@
 private const val NANOS_PER_SECOND = 1e9
 
 /** Processor time and memory of this process. */
-internal object ProcessMetrics {
+object ProcessMetrics {
     /** Adds the metrics to [registry]. */
     fun register(registry: PrometheusRegistry) {
         val system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean::class.java)
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -83,12 +83,17 @@
             "RESET" -> reset()
             "STATUS" -> status()
             "STEPDOWN" -> stepDown(words[1].toLong())
+            else -> runWork(id, statement, words)
+        }
+    }
+
+    private suspend fun runWork(id: String, statement: String, words: List<String>): List<String> =
+        when (words[0]) {
             "READ" -> runWork(id, statement, "get ${words[1]}")
             "WRITE" -> runWork(id, statement, "put ${words[1]} ${words.drop(2).joinToString(" ")}")
             "EXECUTE" -> execute(id, words)
             else -> error("MALFORMED")
         }
-    }
 
     private fun begin(isReadOnly: Boolean): List<String> {
         if (!isReadOnly && !database.isLeading) return error("READONLY")
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireStore.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireStore.kt
@@ -194,7 +194,13 @@
 
     private fun bodyOf(request: AggregatedHttpRequest): JsonObject {
         val text = request.contentUtf8()
-        return if (text.isBlank()) JsonObject(emptyMap()) else Json.parseToJsonElement(text).jsonObject
+        return if (text.isBlank()) {
+            JsonObject(
+                emptyMap()
+            )
+        } else {
+            Json.parseToJsonElement(text).jsonObject
+        }
     }
 
     private fun unavailable() = HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)
