Successor compared among paused replicas where commits are synchronous; no blind hand-over

Cause: with synchronous replicas the longest log among those that answered need not hold every acknowledged commit; and a hand-over stepped a primary down though no successor received. Reads cost 10 ms more on the primary, to leave it to writes. Ruled out for the lost commit in the test: the product; the stand-in acknowledged a write that waited for its slot while the lead was lost, and fed nothing after a step down.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -154,10 +154,12 @@
         is LinkCommand.Forward, is LinkCommand.Execute, is LinkCommand.Commit -> true
 
         is LinkCommand.Begin,
+        is LinkCommand.Pause,
         is LinkCommand.Prepare,
         is LinkCommand.SetValue,
         is LinkCommand.StepDown,
         LinkCommand.Reset,
+        LinkCommand.Resume,
         LinkCommand.Rollback,
         LinkCommand.Status
         -> false
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -150,6 +150,14 @@
     suspend fun report(server: GroupServer, limit: Duration): ServerReport? =
         reportAfter(server, LinkCommand.Status, limit)
 
+    /** Stops replica [server] from receiving, below [term]; its report after that, or null. */
+    suspend fun pause(server: GroupServer, term: Long, limit: Duration): ServerReport? =
+        reportAfter(server, LinkCommand.Pause(term), limit)
+
+    /** Lets replica [server] receive again. */
+    suspend fun resume(server: GroupServer, limit: Duration): ServerReport? =
+        reportAfter(server, LinkCommand.Resume, limit)
+
     /** Makes [primary] a replica if its term is below [term]; its report after that, or null. */
     suspend fun stepDown(primary: GroupServer, term: Long, limit: Duration): ServerReport? =
         reportAfter(primary, LinkCommand.StepDown(term), limit)
@@ -161,10 +169,14 @@
     fun readers(point: LogPoint): List<GroupServer> {
         val staying = servers.filter { !it.member.isLeaving }
         return staying.ifEmpty { servers }.sortedWith(
-            compareBy({ it.failingSince != null }, { isBehind(it, point) }, { it.expectedTime() })
+            compareBy({ it.failingSince != null }, { isBehind(it, point) }, ::costOf)
         )
     }
 
+    /** Reads leave the primary to writes unless it is clearly faster. */
+    private fun costOf(server: GroupServer) =
+        if (server === leader) server.expectedTime() + LEADER_SURCHARGE else server.expectedTime()
+
     private fun isBehind(server: GroupServer, point: LogPoint): Boolean {
         if (server === leader) return false
         val known = server.position
@@ -277,6 +289,9 @@
         /** Unused connections kept to each server: few, for all instances share its limit. */
         const val LINK_FLOOR = 1
 
+        /** Time by which a read may take longer on a replica: the work of a usual statement. */
+        val LEADER_SURCHARGE = 10.milliseconds
+
         /** Time for a report, which may wait for a statement slot. */
         val REPORT_LIMIT = 300.milliseconds
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkCommand.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkCommand.kt
@@ -41,6 +41,12 @@
     /** Asks the server how it stands; takes a statement slot. */
     data object Status : LinkCommand
 
+    /** Stops a replica from receiving, if [term] is above every term that it knows. */
+    data class Pause(val term: Long) : LinkCommand
+
+    /** Lets a paused replica receive again. */
+    data object Resume : LinkCommand
+
     /** Makes a primary of a lower term a replica. */
     data class StepDown(val term: Long) : LinkCommand
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
@@ -104,7 +104,9 @@
             is LinkCommand.Commit,
             is LinkCommand.Execute,
             is LinkCommand.Forward,
+            is LinkCommand.Pause,
             is LinkCommand.StepDown,
+            LinkCommand.Resume,
             LinkCommand.Rollback,
             LinkCommand.Status
             -> false
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -31,6 +31,9 @@
 /** Pause between two searches for the new primary. */
 private val SEARCH_PAUSE = 30.milliseconds
 
+/** Terms above the newest known one that a pause names: changes not seen yet may lie between. */
+private const val PAUSE_TERMS = 100L
+
 /** Carries a change of primary out, by an order to the platform. */
 class PrimaryChange(
     private val duty: PromotionDuty,
@@ -40,16 +43,46 @@
     /** Replaces a primary that does not work; true when another server leads. */
     suspend fun replace(group: ServerGroup): Boolean {
         val claim = duty.ensure() ?: return false
+        if (group.settings.syncReplicas > 0) return replaceKeepingAll(group, claim)
         val choice = choose(group, reportsOf(group, group.servers)) ?: return false
         return promote(group, choice, claim)
     }
 
+    /**
+     * Each acknowledged commit is on some replica, not on a known one. So all of them stop
+     * receiving, that no further commit is acknowledged, and the longest log is taken.
+     */
+    private suspend fun replaceKeepingAll(group: ServerGroup, claim: DutyClaim): Boolean {
+        val replicas = group.servers.filter { it !== group.lastLeader }
+        val term = (group.newestEvidence?.end?.term ?: 0) + PAUSE_TERMS
+        val reports = reportsOf(replicas) { group.pause(it, term, REPORT_LIMIT) }
+        try {
+            if (reports.size < replicas.size) {
+                log.record(
+                    "successor_refused",
+                    "service" to group.service,
+                    "reason" to "a replica that may hold commits did not answer",
+                    "answered" to reports.size,
+                    "replicas" to replicas.size
+                )
+                return false
+            }
+            val choice = choose(group, reports) ?: return false
+            return promote(group, choice, claim)
+        } finally {
+            reports.keys.forEach { group.resume(it, REPORT_LIMIT) }
+        }
+    }
+
     /** Replaces a primary that works and leaves, without losing a commit. */
     suspend fun handOver(group: ServerGroup): Boolean {
         val primary = group.leader ?: return false
         val claim = duty.ensure() ?: return false
         val others = group.servers.filter { it !== primary }
         val choice = choose(group, reportsOf(group, others)) ?: return false
+        // A successor that receives nothing would lead without the newest commits.
+        val before = group.report(primary, REPORT_LIMIT)?.received ?: return false
+        if (!awaitReceived(group, choice, before)) return false
         val end = stepDown(group, primary)
         if (end != null) awaitReceived(group, choice, end)
         return promote(group, choice, claim)
@@ -69,7 +102,11 @@
         return report?.received
     }
 
-    private suspend fun awaitReceived(group: ServerGroup, server: GroupServer, end: LogPoint) {
+    private suspend fun awaitReceived(
+        group: ServerGroup,
+        server: GroupServer,
+        end: LogPoint
+    ): Boolean {
         val isReached = withTimeoutOrNull(CATCH_UP_LIMIT) {
             while (true) {
                 val received = group.report(server, REPORT_LIMIT)?.received
@@ -84,13 +121,17 @@
             "position" to end,
             "reached" to isReached
         )
+        return isReached
     }
 
+    private suspend fun reportsOf(group: ServerGroup, servers: Collection<GroupServer>) =
+        reportsOf(servers) { group.report(it, REPORT_LIMIT) }
+
     private suspend fun reportsOf(
-        group: ServerGroup,
-        servers: Collection<GroupServer>
+        servers: Collection<GroupServer>,
+        ask: suspend (GroupServer) -> ServerReport?
     ): Map<GroupServer, ServerReport> = coroutineScope {
-        servers.map { it to async { group.report(it, REPORT_LIMIT) } }
+        servers.map { it to async { ask(it) } }
             .mapNotNull { (server, report) -> report.await()?.let { server to it } }
             .toMap()
     }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/database/DatabaseModel.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/database/DatabaseModel.kt
@@ -100,9 +100,17 @@
         ReplicateReply(true, fence, call.previous.position + call.entries.size)
     }
 
-    /** The next entries for a replica whose log agrees up to [from], older than [lag]. */
-    fun entriesAfter(from: Long, lag: Duration, limit: Int): ReplicateCall? = lock.withLock {
-        if (role != ServerRole.PRIMARY) return null
+    /**
+     * The next entries for a replica whose log agrees up to [from], older than [lag]; null unless
+     * this server leads, or has [steppedDown] and no other leads yet.
+     */
+    fun entriesAfter(
+        from: Long,
+        lag: Duration,
+        limit: Int,
+        steppedDown: Boolean = false
+    ): ReplicateCall? = lock.withLock {
+        if (role != ServerRole.PRIMARY && !steppedDown) return null
         val start = minOf(from, length())
         val due = ArrayList<LogEntry>()
         var next = start.toInt()
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -53,6 +53,29 @@
         faults.value = next
     }
 
+    /** True while this replica receives nothing. */
+    @Volatile
+    var isPaused = false
+        private set
+
+    /** True from the end of this server's lead by its own step to the next promotion. */
+    @Volatile
+    internal var hasSteppedDown = false
+
+    internal fun stepDown(term: Long) {
+        if (term <= model.status().fence) return
+        hasSteppedDown = isLeading
+        model.fence(term)
+    }
+
+    internal fun pause(term: Long) {
+        if (term > model.status().fence) isPaused = true
+    }
+
+    internal fun resume() {
+        isPaused = false
+    }
+
     /** A new connection. */
     fun connect() = WireSession(this, nextConnection.incrementAndGet(), faults.value.silence)
 
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireGroup.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireGroup.kt
@@ -41,6 +41,8 @@
         if (chosen.isLeading) return
         val term = databases.values.maxOf { it.model.status().fence } + 1
         databases.values.filter { it !== chosen && it.isLeading }.forEach { it.model.fence(term) }
+        databases.values.forEach { it.hasSteppedDown = false }
+        chosen.resume()
         chosen.model.promote(term)
     }
 
@@ -57,7 +59,7 @@
     private suspend fun feed(source: WireDatabase, target: WireDatabase) {
         var from = 0L
         while (true) {
-            val isCut = source.name in deaf || target.name in deaf
+            val isCut = source.name in deaf || target.name in deaf || target.isPaused
             val call = if (isCut) null else due(source, from, target)
             if (call != null) from = target.model.replicate(call).length
             delay(REPLICATION_PERIOD)
@@ -65,5 +67,5 @@
     }
 
     private fun due(source: WireDatabase, from: Long, target: WireDatabase) =
-        source.model.entriesAfter(from, target.lag, REPLICATION_BATCH)
+        source.model.entriesAfter(from, target.lag, REPLICATION_BATCH, source.hasSteppedDown)
 }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -83,6 +83,8 @@
             "RESET" -> reset()
             "STATUS" -> status()
             "STEPDOWN" -> stepDown(words[1].toLong())
+            "PAUSE" -> status().also { database.pause(words[1].toLong()) }
+            "RESUME" -> status().also { database.resume() }
             else -> runWork(id, statement, words)
         }
     }
@@ -114,8 +116,9 @@
     private suspend fun runWork(id: String, text: String, command: String): List<String> {
         if (id == NO_ID) return error("MALFORMED")
         val isWrite = command.startsWith("put")
-        if (isWrite && !database.isLeading) return error("READONLY")
         return database.inSlot {
+            // The lead can be lost while the statement waits for its slot.
+            if (isWrite && !database.isLeading) return@inSlot error("READONLY")
             note(id, text)
             val open = transaction
             when {
@@ -133,8 +136,8 @@
         val open = transaction ?: return error("MALFORMED")
         if (id == NO_ID) return error("MALFORMED")
         transaction = null
-        if (open.writes.isNotEmpty() && !database.isLeading) return error("READONLY")
         return database.inSlot {
+            if (open.writes.isNotEmpty() && !database.isLeading) return@inSlot error("READONLY")
             note(id, "COMMIT", open)
             if (open.writes.isNotEmpty()) commitNow(open.writes)
             receipt(id)
@@ -170,7 +173,7 @@
     }
 
     private fun stepDown(term: Long): List<String> {
-        if (term > database.model.status().fence) database.model.fence(term)
+        database.stepDown(term)
         return status()
     }
 
