--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -169,14 +169,10 @@
     fun readers(point: LogPoint): List<GroupServer> {
         val staying = servers.filter { !it.member.isLeaving }
         return staying.ifEmpty { servers }.sortedWith(
-            compareBy({ it.failingSince != null }, { isBehind(it, point) }, ::costOf)
+            compareBy({ it.failingSince != null }, { isBehind(it, point) }, { it.expectedTime() })
         )
     }
 
-    /** Reads leave the primary to writes unless it is clearly faster. */
-    private fun costOf(server: GroupServer) =
-        if (server === leader) server.expectedTime() + LEADER_SURCHARGE else server.expectedTime()
-
     private fun isBehind(server: GroupServer, point: LogPoint): Boolean {
         if (server === leader) return false
         val known = server.position
@@ -289,9 +285,6 @@
         /** Unused connections kept to each server: few, for all instances share its limit. */
         const val LINK_FLOOR = 1
 
-        /** Time by which a read may take longer on a replica: the work of a usual statement. */
-        val LEADER_SURCHARGE = 10.milliseconds
-
         /** Time for a report, which may wait for a statement slot. */
         val REPORT_LIMIT = 300.milliseconds
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -78,16 +78,20 @@
     suspend fun handOver(group: ServerGroup): Boolean {
         val primary = group.leader ?: return false
         val claim = duty.ensure() ?: return false
-        val others = group.servers.filter { it !== primary }
-        val choice = choose(group, reportsOf(group, others)) ?: return false
-        // A successor that receives nothing would lead without the newest commits.
-        val before = group.report(primary, REPORT_LIMIT)?.received ?: return false
-        if (!awaitReceived(group, choice, before)) return false
+        val choice = successorOf(group, primary) ?: return false
         val end = stepDown(group, primary)
         if (end != null) awaitReceived(group, choice, end)
         return promote(group, choice, claim)
     }
 
+    /** A server that receives what [primary] writes: another would lead without the newest. */
+    private suspend fun successorOf(group: ServerGroup, primary: GroupServer): GroupServer? {
+        val others = group.servers.filter { it !== primary }
+        val choice = choose(group, reportsOf(group, others)) ?: return null
+        val end = group.report(primary, REPORT_LIMIT)?.received ?: return null
+        return choice.takeIf { awaitReceived(group, it, end) }
+    }
+
     private suspend fun stepDown(group: ServerGroup, primary: GroupServer): LogPoint? {
         val term = (group.newestEvidence?.end?.term ?: return null) + 1
         val report = group.stepDown(primary, term, REPORT_LIMIT)
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -81,20 +81,24 @@
             "SET" -> done().also { values[words[1]] = statement.substringAfter(words[1] + " ") }
             "PREPARE" -> done().also { prepared[words[1]] = words.drop(2).joinToString(" ") }
             "RESET" -> reset()
-            "STATUS" -> status()
-            "STEPDOWN" -> stepDown(words[1].toLong())
-            "PAUSE" -> status().also { database.pause(words[1].toLong()) }
-            "RESUME" -> status().also { database.resume() }
-            else -> runWork(id, statement, words)
+            "READ", "WRITE", "EXECUTE" -> runWork(id, statement, words)
+            else -> administer(words)
         }
     }
 
+    private fun administer(words: List<String>): List<String> = when (words[0]) {
+        "STATUS" -> status()
+        "STEPDOWN" -> stepDown(words[1].toLong())
+        "PAUSE" -> status().also { database.pause(words[1].toLong()) }
+        "RESUME" -> status().also { database.resume() }
+        else -> error("MALFORMED")
+    }
+
     private suspend fun runWork(id: String, statement: String, words: List<String>): List<String> =
         when (words[0]) {
             "READ" -> runWork(id, statement, "get ${words[1]}")
             "WRITE" -> runWork(id, statement, "put ${words[1]} ${words.drop(2).joinToString(" ")}")
-            "EXECUTE" -> execute(id, words)
-            else -> error("MALFORMED")
+            else -> execute(id, words)
         }
 
     private fun begin(isReadOnly: Boolean): List<String> {
