--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/log/BatchingAppender.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/log/BatchingAppender.kt
@@ -8,6 +8,7 @@
 import java.io.FileOutputStream
 import java.io.OutputStream
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 private const val QUEUE_LIMIT = 8_192
@@ -15,13 +16,15 @@
 
 /**
  * Writes log events to standard output in batches from a thread of its own, so that a request
- * waits for no system call. A full queue makes its writers wait: no line is dropped.
+ * never waits for a log line. Lines that find the queue full are dropped and counted in a line of
+ * their own.
  *
  * @property output where the lines go
  */
 class BatchingAppender(private val output: OutputStream = FileOutputStream(FileDescriptor.out)) :
     UnsynchronizedAppenderBase<ILoggingEvent>() {
     private val queue = ArrayBlockingQueue<ILoggingEvent>(QUEUE_LIMIT)
+    private val dropped = AtomicLong()
     private var writer: Thread? = null
 
     /** Turns an event into a line; set by logback.xml. */
@@ -40,7 +43,9 @@
         writer?.join()
     }
 
-    override fun append(event: ILoggingEvent) = queue.put(event)
+    override fun append(event: ILoggingEvent) {
+        if (!queue.offer(event)) dropped.incrementAndGet()
+    }
 
     private fun write() {
         val batch = ArrayList<ILoggingEvent>()
@@ -60,6 +65,12 @@
         val bytes = ByteArrayOutputStream()
         batch.forEach { bytes.write(encoder.encode(it)) }
         batch.clear()
+        val missing = dropped.getAndSet(0)
+        if (missing >
+            0
+        ) {
+            bytes.write("level=WARN event=log_lines_dropped count=$missing\n".toByteArray())
+        }
         bytes.writeTo(output)
         output.flush()
     }
