--- /dev/null
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
@@ -0,0 +1,95 @@
+package org.yuccawind.core.group
+
+import arrow.core.Either
+import arrow.core.right
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.junit.jupiter.api.Test
+import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.LinkLost
+import org.yuccawind.core.link.LinkReply
+import org.yuccawind.core.link.ServerLink
+import org.yuccawind.core.model.AvailabilityZone
+import org.yuccawind.core.model.BackendServerName
+import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.model.ServerRole
+import org.yuccawind.core.model.ServiceName
+import org.yuccawind.core.port.DecisionLog
+import org.yuccawind.core.route.GroupSettings
+import org.yuccawind.core.statement.SessionState
+import org.yuccawind.core.statement.StatementResult
+
+class ServerGroupTest {
+    private val received = LogPoint(1, 9)
+    private var applied = LogPoint(1, 5)
+
+    @Test
+    fun `a primary is no evidence before it has applied what it had received`() = runTest {
+        val group = group()
+        delay(500.milliseconds)
+        group.leader.shouldNotBeNull()
+        group.pointSince(testTimeSource.markNow(), patience = 300.milliseconds).shouldBeNull()
+        applied = received
+        group.pointSince(testTimeSource.markNow(), patience = 300.milliseconds) shouldBe received
+    }
+
+    @Test
+    fun `a primary that still applies what it received is not called silent`() = runTest {
+        val group = group()
+        delay(3_000.milliseconds)
+        group.isSilent shouldBe false
+        group.awaitLeader(patience = 100.milliseconds).shouldNotBeNull()
+    }
+
+    private fun TestScope.group(): ServerGroup {
+        val context = GroupContext(
+            backgroundScope,
+            testTimeSource,
+            { _, _ -> Link().right() },
+            DecisionLog.NONE
+        )
+        val group = ServerGroup(ServiceName("s"), GroupSettings(16, syncReplicas = 0), context)
+        group.update(listOf(member()))
+        backgroundScope.launch { group.run() }
+        return group
+    }
+
+    private fun member() = GroupMember(
+        name = BackendServerName("a"),
+        address = "127.0.0.1:1",
+        zone = AvailabilityZone("z"),
+        role = ServerRole.PRIMARY,
+        slots = 2,
+        isLeaving = false,
+        startedAtMs = 0
+    )
+
+    /** A server that leads, has received more than it has applied, and answers in 1 ms. */
+    private inner class Link : ServerLink {
+        override val isOpen = true
+        override val firstPosition get() = applied
+
+        override suspend fun exchange(
+            commands: List<LinkCommand>
+        ): Either<LinkLost, List<LinkReply>> {
+            delay(1.milliseconds)
+            return commands.map(::answer).right()
+        }
+
+        override fun close() = Unit
+
+        private fun answer(command: LinkCommand): LinkReply {
+            val isBegin = command is LinkCommand.Begin
+            val state = if (isBegin) SessionState.IN_TRANSACTION else SessionState.IDLE
+            val report = ServerReport(ServerRole.PRIMARY, received, heldTerm = 0)
+            return LinkReply(emptyList(), StatementResult.Done(null), state, applied, report)
+        }
+    }
+}
