--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -1,5 +1,7 @@
 package org.yuccawind.core.group
 
+import arrow.core.Either
+import arrow.core.left
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -10,6 +12,7 @@
 import org.yuccawind.core.evidence.EvidenceBook
 import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.LinkPool
+import org.yuccawind.core.link.OpenError
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.model.LogPoint
@@ -42,6 +45,8 @@
     private val byName = LinkedHashMap<BackendServerName, GroupServer>()
     private val book = EvidenceBook(majority = 1, context.time)
     private val probe = LeaderProbe(this, context)
+    private val startedAt = context.time.markNow()
+    private var provedAt: ComparableTimeMark? = null
     private var lead: Lead? = null
 
     /** Settings of the newest configuration. */
@@ -54,13 +59,9 @@
     var lastLeader: GroupServer? = null
         private set
 
-    private val startedAt = context.time.markNow()
-
     /** Time since a server last proved that it leads. */
     val silence: Duration get() = (provedAt ?: startedAt).elapsedNow()
 
-    private var provedAt: ComparableTimeMark? = null
-
     /**
      * True when no server has proved to lead for a while and none is about to: the last primary
      * does not answer. One that answers that it leads no more is being replaced, and soon is.
@@ -227,9 +228,11 @@
         )
     }
 
-    private suspend fun open(name: BackendServerName) = context.connector
-        .open(service, checkNotNull(byName[name]).member)
-        .map { PooledLink(checkNotNull(byName[name]).member, it, context.time) }
+    private suspend fun open(name: BackendServerName): Either<OpenError, PooledLink> {
+        val member = byName[name]?.member ?: return OpenError.Unreachable("$name is gone").left()
+        return context.connector.open(service, member)
+            .map { PooledLink(member, it, context.time) }
+    }
 
     private fun remove(server: GroupServer) {
         byName.remove(server.name)
