--- a/yuccawind-proxy/src/test/kotlin/org/yuccawind/proxy/metrics/MetricsPageTest.kt
+++ b/yuccawind-proxy/src/test/kotlin/org/yuccawind/proxy/metrics/MetricsPageTest.kt
@@ -9,10 +9,13 @@
 private val SERIES_ENDINGS = Regex("_(sum|count|bucket)$")
 
 class MetricsPageTest {
-    private val sources = File("src/main/kotlin/org/yuccawind/proxy/metrics")
+    private val sources = listOf(
+        File("src/main/kotlin/org/yuccawind/proxy/metrics"),
+        File("../platform/src/main/kotlin/org/yuccawind/platform/http")
+    )
     private val pages = File("../docs").walk().filter { it.extension == "md" }.toList()
 
-    private val defined = sources.walk().filter { it.extension == "kt" }
+    private val defined = sources.flatMap { it.walk() }.filter { it.extension == "kt" }
         .flatMap { DEFINITION.findAll(it.readText()) }
         .map { it.groupValues[1] }
         .toSet()
