An instance that has not seen a primary yet replaces none

After a restart behind a cut it would have replaced a primary that served everybody else. Before: Replace; both new tests failed. After: it waits for those that have seen one, and a group in which all deny gets a primary once servers had 5 s to register.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
@@ -5,6 +5,9 @@
 /** Silence after which a primary is in doubt: several lost probes. */
 private val DOUBT_AFTER = 900.milliseconds
 
+/** Time in which all servers of a new deployment register: four heartbeats. */
+private val REGISTRATION_TIME = 5_000.milliseconds
+
 /** Part of the instances out of a working primary's reach at which another one serves better. */
 private const val WIDE_DOUBT = 0.3
 
@@ -34,7 +37,10 @@
 
             facts.registered == 0 -> Waiting("no server is registered")
 
-            facts.denials == facts.registered -> Replace("every server denies to lead")
+            facts.denials == facts.registered -> leaderless(facts)
+
+            // After a restart a primary that is out of reach looks like none at all.
+            !facts.isKnown -> Waiting("no primary has been seen yet")
 
             !facts.isRegistered -> Replace("the primary is not registered")
 
@@ -44,6 +50,13 @@
             else -> Doubted
         }
 
+        private fun leaderless(facts: PrimaryFacts) =
+            if (facts.isKnown || facts.listedFor >= REGISTRATION_TIME) {
+                Replace("every server denies to lead")
+            } else {
+                Waiting("servers may still register")
+            }
+
         private fun isToGo(facts: PrimaryFacts) =
             facts.hasSuccessor && (facts.isLeaving || facts.doubtShare >= WIDE_DOUBT)
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
@@ -1,5 +1,6 @@
 package org.yuccawind.core.primary
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.delay
 import org.yuccawind.core.group.RegistryView
@@ -126,6 +127,8 @@
             silence = group.silence,
             isLeaving = primary?.member?.isLeaving == true,
             hasSuccessor = group.servers.any { it !== primary && !it.member.isLeaving },
+            isKnown = primary != null,
+            listedFor = registry.readableSince?.elapsedNow() ?: Duration.ZERO,
             isRegistered = primary != null && primary in group.servers,
             areRegistrationsCurrent = registry.isCurrent,
             isAnswering = group.isLastLeaderAnswering,
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/primary/PrimaryVerdictTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/primary/PrimaryVerdictTest.kt
@@ -11,6 +11,8 @@
         silence = 100.milliseconds,
         isLeaving = false,
         hasSuccessor = true,
+        isKnown = true,
+        listedFor = 20.seconds,
         isRegistered = true,
         areRegistrationsCurrent = true,
         isAnswering = true,
@@ -59,6 +61,26 @@
         PrimaryVerdict.of(silent.copy(denials = 3)).shouldBeInstanceOf<PrimaryVerdict.Replace>()
     }
 
+    @Test
+    fun `an instance that has not seen a primary yet leaves a change to those that have`() {
+        val restarted = silent.copy(isKnown = false, isRegistered = false)
+        PrimaryVerdict.of(restarted).shouldBeInstanceOf<PrimaryVerdict.Waiting>()
+    }
+
+    @Test
+    fun `servers that all deny to lead get a primary only once all had time to register`() {
+        val starting = silent.copy(
+            isKnown = false,
+            isRegistered = false,
+            listedFor = 2.seconds,
+            denials = 1,
+            registered = 1
+        )
+        PrimaryVerdict.of(starting).shouldBeInstanceOf<PrimaryVerdict.Waiting>()
+        PrimaryVerdict.of(starting.copy(listedFor = 6.seconds))
+            .shouldBeInstanceOf<PrimaryVerdict.Replace>()
+    }
+
     @Test
     fun `nothing is changed while the registrations can't be read`() {
         val blind = silent.copy(isRegistered = false, areRegistrationsCurrent = false)
