--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupContext.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupContext.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineScope
 import org.yuccawind.core.link.ServerConnector
 import org.yuccawind.core.port.DecisionLog
+import org.yuccawind.core.time.SuspensionWatch
 
 /**
  * What all groups of one instance share.
@@ -12,10 +13,12 @@
  * @property time the clock
  * @property connector opens connections
  * @property log receives a line for each decision
+ * @property suspensions tells since when ages by [time] can be trusted
  */
 class GroupContext(
     val scope: CoroutineScope,
     val time: TimeSource.WithComparableMarks,
     val connector: ServerConnector,
-    val log: DecisionLog
+    val log: DecisionLog,
+    val suspensions: SuspensionWatch
 )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -122,18 +122,21 @@
      * primary when no proof is at hand; null when none was had within [patience].
      */
     suspend fun pointSince(since: ComparableTimeMark, patience: Duration): LogPoint? {
-        book.pointWithin(since.elapsedNow())?.let { return it }
+        provedSince(since)?.let { return it }
         if (isSilent) return null
         return withTimeoutOrNull(patience) {
             var point: LogPoint? = null
             while (point == null) {
                 if (!probe.run()) delay(SEARCH_PAUSE)
-                point = book.pointWithin(since.elapsedNow())
+                point = provedSince(since)
             }
             point
         }
     }
 
+    private fun provedSince(since: ComparableTimeMark): LogPoint? =
+        book.pointWithin(maxOf(since, context.suspensions.resumedAt()).elapsedNow())
+
     /** The primary, looked for when it is not known; null when none was found in [patience]. */
     suspend fun awaitLeader(patience: Duration): GroupServer? {
         leader?.takeIf { it.failingSince == null }?.let { return it }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/DutyLeases.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/DutyLeases.kt
@@ -11,6 +11,9 @@
     /** Extends [claim]; null when it has ended or the store did not say. */
     suspend fun renew(claim: DutyClaim): DutyClaim?
 
+    /** [claim] with a higher token; null when it has ended or the store did not say. */
+    suspend fun renumber(claim: DutyClaim): DutyClaim?
+
     /** Ends [claim] before its time. */
     suspend fun release(claim: DutyClaim)
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -162,8 +162,17 @@
         choice: GroupServer,
         claim: DutyClaim
     ): Boolean {
-        val name = choice.name
-        while (claim.validUntil.hasNotPassedNow()) {
+        val isDone = order(group, choice.name, claim)
+        if (!isDone) duty.renumber(claim)
+        return isDone
+    }
+
+    private suspend fun order(
+        group: ServerGroup,
+        name: BackendServerName,
+        claim: DutyClaim
+    ): Boolean {
+        while (duty.isValid(claim)) {
             val outcome = orders.promote(group.service, name, claim.token)
             log.record(
                 "promotion_ordered",
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
 import org.junit.jupiter.api.Test
@@ -25,10 +26,12 @@
 import org.yuccawind.core.route.GroupSettings
 import org.yuccawind.core.statement.SessionState
 import org.yuccawind.core.statement.StatementResult
+import org.yuccawind.core.time.SuspensionWatch
 
 class ServerGroupTest {
     private val received = LogPoint(1, 9)
     private var applied = LogPoint(1, 5)
+    private var suspendedMs = 0L
 
     @Test
     fun `a primary is no evidence before it has applied what it had received`() = runTest {
@@ -48,12 +51,25 @@
         group.awaitLeader(patience = 100.milliseconds).shouldNotBeNull()
     }
 
+    @Test
+    fun `evidence from before a suspension of the machine is not used`() = runTest {
+        applied = received
+        val group = group()
+        delay(1_500.milliseconds)
+        val latest = LogPoint(1, 20)
+        applied = latest
+        suspendedMs += 4_000
+        val bound = testTimeSource.markNow() - 1_000.milliseconds
+        group.pointSince(bound, patience = 300.milliseconds) shouldBe latest
+    }
+
     private fun TestScope.group(): ServerGroup {
         val context = GroupContext(
             backgroundScope,
             testTimeSource,
             { _, _ -> Link().right() },
-            DecisionLog.NONE
+            DecisionLog.NONE,
+            SuspensionWatch(testTimeSource) { currentTime + suspendedMs }
         )
         val group = ServerGroup(ServiceName("s"), GroupSettings(16, syncReplicas = 0), context)
         group.update(listOf(member()))
--- /dev/null
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/time/SuspensionWatchTest.kt
@@ -0,0 +1,40 @@
+package org.yuccawind.core.time
+
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import org.junit.jupiter.api.Test
+
+class SuspensionWatchTest {
+    private val steady = TestTimeSource()
+    private var wallMs = 1_700_000_000_000
+    private val start = steady.markNow()
+    private val watch = SuspensionWatch(steady) { wallMs }
+
+    @Test
+    fun `clocks that run alike show no suspension`() {
+        repeat(100) {
+            steady += 50.milliseconds
+            wallMs += if (it % 2 == 0) 80 else 20
+            watch.resumedAt() shouldBe start
+        }
+    }
+
+    @Test
+    fun `time that only the time of day counts is a suspension`() {
+        steady += 1.seconds
+        wallMs += 5_000
+        watch.resumedAt() shouldBe start + 1.seconds
+        steady += 1.seconds
+        wallMs += 1_000
+        watch.resumedAt() shouldBe start + 1.seconds
+    }
+
+    @Test
+    fun `a step back may hide a suspension and counts as one`() {
+        steady += 1.seconds
+        wallMs -= 2_000
+        watch.resumedAt() shouldBe start + 1.seconds
+    }
+}
