--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -10,6 +10,7 @@
 import org.yuccawind.core.group.ReadNeed
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.route.Route
 import org.yuccawind.core.statement.SessionState
@@ -49,19 +50,22 @@
         private val arrivedAt: ComparableTimeMark
     ) {
         private val deadline = arrivedAt + route.statementLimit
+        private val urgency = LinkUrgency(arrivedAt + route.latencyGoal, route.priority)
         private val refusedBy = HashSet<GroupServer>()
         private var refusal = "no evidence of what the read must see"
 
         suspend fun run(): StatementAnswer {
             while (remaining() > Duration.ZERO) {
                 val need = ReadNeeds.find(group, route, values, arrivedAt, remaining()) ?: break
-                val server = next(need)
+                val servers = group.readers(need.point)
+                val server = servers.firstOrNull { it !in refusedBy }
                 if (server == null) {
                     refusedBy.clear()
                     delay(RETRY_PAUSE)
                     continue
                 }
-                patiently(server, need)?.let { return it }
+                val patience = if (servers.size == 1) remaining() else LINK_PATIENCE
+                patiently(server, need, patience)?.let { return it }
                 refusedBy += server
             }
             return busy(refusal)
@@ -69,15 +73,16 @@
 
         private fun remaining() = -deadline.elapsedNow()
 
-        private fun next(need: ReadNeed) =
-            group.readers(need.point).firstOrNull { it !in refusedBy }
-
         /**
          * Asks [server], and gives up on it early when it has gone silent. The attempt itself goes
          * on, so that a server at work is not interrupted; nobody waits for its answer.
          */
-        private suspend fun patiently(server: GroupServer, need: ReadNeed): StatementAnswer? {
-            val attempt = context.scope.async { attempt(server, need) }
+        private suspend fun patiently(
+            server: GroupServer,
+            need: ReadNeed,
+            patience: Duration
+        ): StatementAnswer? {
+            val attempt = context.scope.async { attempt(server, need, patience) }
             while (true) {
                 val answer = withTimeoutOrNull(SILENCE_CHECK) { Answer(attempt.await()) }
                 if (answer != null) return answer.value
@@ -88,12 +93,16 @@
             }
         }
 
-        private suspend fun attempt(server: GroupServer, need: ReadNeed): StatementAnswer? {
+        private suspend fun attempt(
+            server: GroupServer,
+            need: ReadNeed,
+            patience: Duration
+        ): StatementAnswer? {
             trace.server = server.name
             trace.need = need.point
             trace.attempts++
             val startedAt = context.time.markNow()
-            val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull()
+            val link = server.acquire(patience, urgency)?.getOrNull()
             trace.linkWait += startedAt.elapsedNow()
             if (link == null) {
                 refusal = "no connection to ${server.name}"
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -7,6 +7,7 @@
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.route.Route
 import org.yuccawind.core.statement.SessionState
@@ -33,14 +34,16 @@
         val group = context.groups(route.service)
             ?: return refused(StatementCode.BUSY, "service ${route.service} is gone")
         val deadline = context.time.markNow() + route.statementLimit
-        return Attempts(group, work, trace, deadline).run()
+        val urgency = LinkUrgency(context.time.markNow() + route.latencyGoal, route.priority)
+        return Attempts(group, work, trace, deadline, urgency).run()
     }
 
     private inner class Attempts(
         private val group: ServerGroup,
         private val work: Work,
         private val trace: StatementTrace,
-        private val deadline: ComparableTimeMark
+        private val deadline: ComparableTimeMark,
+        private val urgency: LinkUrgency
     ) {
         private var refusal = StatementCode.BUSY to "no primary is known"
 
@@ -50,7 +53,7 @@
                 trace.server = server.name
                 trace.attempts++
                 val startedAt = context.time.markNow()
-                val link = server.acquire(remaining())?.getOrNull()
+                val link = server.acquire(remaining(), urgency)?.getOrNull()
                 trace.linkWait += startedAt.elapsedNow()
                 if (link == null) {
                     refusal = StatementCode.BUSY to "no connection to ${server.name}"
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionBegin.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionBegin.kt
@@ -7,6 +7,7 @@
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.route.Freshness
 import org.yuccawind.core.route.Route
@@ -26,6 +27,7 @@
     private val trace: StatementTrace
 ) {
     private val arrivedAt = context.time.markNow()
+    private val urgency = LinkUrgency(arrivedAt + route.latencyGoal, route.priority)
 
     /** Opens a transaction that may write, on the primary. */
     suspend fun onLeader(): Pin? {
@@ -66,7 +68,7 @@
         trace.server = server.name
         trace.attempts++
         val startedAt = context.time.markNow()
-        val link = server.acquire(minOf(LINK_PATIENCE, remaining()))?.getOrNull()
+        val link = server.acquire(minOf(LINK_PATIENCE, remaining()), urgency)?.getOrNull()
         trace.linkWait += startedAt.elapsedNow()
         if (link == null) return null
         val sentAt = context.time.markNow()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -10,6 +10,7 @@
 import org.yuccawind.core.link.LinkLost
 import org.yuccawind.core.link.LinkPool
 import org.yuccawind.core.link.LinkReply
+import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.OpenError
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.model.LogPoint
@@ -59,7 +60,13 @@
     var failingSince: ComparableTimeMark? = null
         private set
 
-    private var answerTime = FIRST_GUESS
+    /** Moving average of the time from a statement's sending to its answer. */
+    var answerTime = FIRST_GUESS
+        private set
+
+    /** True once a read has passed over the server since its log was last looked at. */
+    internal var isPassedOver = false
+
     private var busySince: ComparableTimeMark? = null
 
     /** Name of the server. */
@@ -77,12 +84,12 @@
         return if (pool.hasIdle) work else work + LINK_WAIT
     }
 
-    /** Takes a link, waiting at most [patience]; an urgent caller goes before the others. */
+    /** Takes a link, waiting at most [patience]; [urgency] says who goes first. */
     suspend fun acquire(
         patience: Duration,
-        isUrgent: Boolean = false
+        urgency: LinkUrgency
     ): Either<OpenError, PooledLink>? {
-        val result = pool.acquire(patience, isUrgent)
+        val result = pool.acquire(patience, urgency)
         result?.onLeft { if (it is OpenError.Unreachable) noteFailure() }
         return result
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/LeaderProbe.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.link.LinkCommand
+import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.statement.StatementCode
 
@@ -46,7 +47,7 @@
     }
 
     private suspend fun ask(server: GroupServer): Boolean {
-        val link = server.acquire(LINK_PATIENCE, isUrgent = true)?.getOrNull() ?: return false
+        val link = server.acquire(LINK_PATIENCE, LinkUrgency.PROBE)?.getOrNull() ?: return false
         try {
             return withTimeoutOrNull(ANSWER_LIMIT) { ask(server, link) } ?: run {
                 server.noteFailure()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -12,6 +12,7 @@
 import org.yuccawind.core.evidence.EvidenceBook
 import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.LinkPool
+import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.OpenError
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.model.BackendServerName
@@ -168,12 +169,18 @@
 
     /**
      * Servers for a read that needs [point], the soonest expected answer first. Those expected to
-     * lack the point come last, and leaving ones only if there is no other.
+     * lack the point for a while are left out, and leaving ones too, unless there is no other.
+     *
+     * The load this answers: a service whose replicas lag by seconds. Its reads would ask each of
+     * them in turn, in vain, while what they wait for is a connection to the primary.
      */
     fun readers(point: LogPoint): List<GroupServer> {
-        val staying = servers.filter { !it.member.isLeaving }
-        return staying.ifEmpty { servers }.sortedWith(
-            compareBy({ it.failingSince != null }, { isBehind(it, point) }, { it.expectedTime() })
+        val staying = servers.filter { !it.member.isLeaving }.ifEmpty { servers }
+        val (behind, ready) = staying.partition { isBehind(it, point) }
+        behind.forEach { it.isPassedOver = true }
+        val hasWorking = ready.any { it.failingSince == null }
+        return (if (hasWorking) ready else staying).sortedWith(
+            compareBy({ it.failingSince != null }, { it.expectedTime() })
         )
     }
 
@@ -184,11 +191,32 @@
         return book.catchUpOf(server.name, point)?.let { it > Duration.ZERO } == true
     }
 
+    /** Asks the servers that reads pass over how far they are; it takes no statement slot. */
+    private fun lookAtPassedOver() {
+        for (server in servers.filter { it.isPassedOver }) {
+            server.isPassedOver = false
+            if (server.inFlight == 0) context.scope.launch { lookAt(server) }
+        }
+    }
+
+    private suspend fun lookAt(server: GroupServer) {
+        val link = server.acquire(REPORT_LIMIT, LinkUrgency.PROBE)?.getOrNull() ?: return
+        try {
+            val answer = withTimeoutOrNull(REPORT_LIMIT) {
+                server.exchange(link, listOf(LinkCommand.Rollback))
+            }
+            if (answer == null) link.close()
+        } finally {
+            server.release(link)
+        }
+    }
+
     /** Keeps evidence young and closes unused connections until cancelled. */
     suspend fun run() {
         while (true) {
             val age = newestEvidence?.since?.elapsedNow()
             if (age == null || age >= PROBE_AFTER) probe.run()
+            lookAtPassedOver()
             servers.forEach { it.trim() }
             delay(MAINTENANCE_PERIOD)
         }
@@ -202,7 +230,7 @@
         command: LinkCommand,
         limit: Duration
     ): ServerReport? {
-        val link = server.acquire(limit)?.getOrNull() ?: return null
+        val link = server.acquire(limit, LinkUrgency.PROBE)?.getOrNull() ?: return null
         try {
             val replies = withTimeoutOrNull(limit) { server.exchange(link, listOf(command)) }
             if (replies == null) link.close()
@@ -218,6 +246,7 @@
             time = context.time,
             limit = { settings.maxConnections },
             floor = { LINK_FLOOR },
+            answerTime = { byName[member.name]?.answerTime ?: Duration.ZERO },
             open = { open(member.name) }
         )
         byName[member.name] = GroupServer(member, pool, context.time, book)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -1,13 +1,11 @@
 package org.yuccawind.core.link
 
 import arrow.core.Either
-import arrow.core.left
 import arrow.core.right
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -22,21 +20,23 @@
 /**
  * The connections of this instance to one backend server. Confined to the event loop of its group.
  *
- * New connections are opened only while somebody waits, and whoever waits longest gets the first
- * connection, new or given back.
+ * New connections are opened only while somebody waits; the queue says who gets the first one, new
+ * or given back.
  *
  * @param limit connections that this instance may open
  * @param floor connections that stay open when unused
+ * @param answerTime time that an answer is expected to take once a link is had
  */
 internal class LinkPool(
     private val scope: CoroutineScope,
     private val time: TimeSource.WithComparableMarks,
     private val limit: () -> Int,
     private val floor: () -> Int,
+    answerTime: () -> Duration,
     private val open: suspend () -> Either<OpenError, PooledLink>
 ) {
     private val idle = ArrayDeque<PooledLink>()
-    private val waiters = ArrayDeque<CompletableDeferred<Either<OpenError, PooledLink>>>()
+    private val waiters = LinkQueue(time, answerTime)
     private var held = 0
     private var opening = 0
     private var fullUntil: ComparableTimeMark? = null
@@ -54,21 +54,17 @@
     /** True when a caller gets a link without waiting. */
     val hasIdle get() = idle.isNotEmpty()
 
-    /**
-     * Takes a link, waiting at most [patience]; null when none came in time. An urgent caller goes
-     * before all others.
-     */
+    /** Takes a link, waiting at most [patience]; null when none came in time. */
     suspend fun acquire(
         patience: Duration,
-        isUrgent: Boolean = false
+        urgency: LinkUrgency
     ): Either<OpenError, PooledLink>? {
         takeIdle()?.let { return it.right() }
-        val waiter = CompletableDeferred<Either<OpenError, PooledLink>>()
-        if (isUrgent) waiters.addFirst(waiter) else waiters.addLast(waiter)
+        val waiter = waiters.add(urgency)
         openForWaiters()
         var result: Either<OpenError, PooledLink>? = null
         try {
-            result = withTimeoutOrNull(patience) { waiter.await() }
+            result = withTimeoutOrNull(patience) { waiter.result.await() }
             return result
         } finally {
             if (result == null) abandon(waiter)
@@ -119,19 +115,13 @@
     }
 
     private fun offer(link: PooledLink) {
-        while (waiters.isNotEmpty()) {
-            if (waiters.removeFirst().complete(link.right())) {
-                held++
-                return
-            }
-        }
-        idle.addLast(link)
+        if (waiters.give(link)) held++ else idle.addLast(link)
     }
 
-    private fun abandon(waiter: CompletableDeferred<Either<OpenError, PooledLink>>) {
+    private fun abandon(waiter: LinkWaiter) {
         waiters.remove(waiter)
-        if (waiter.isCompleted) waiter.getCompleted().onRight(::release)
-        waiter.cancel()
+        if (waiter.result.isCompleted) waiter.result.getCompleted().onRight(::release)
+        waiter.result.cancel()
     }
 
     private fun openForWaiters() {
@@ -159,10 +149,10 @@
     private fun onOpenFailed(error: OpenError) {
         if (error is OpenError.TooMany) fullUntil = time.markNow() + FULL_PAUSE
         val isHopeless = error !is OpenError.TooMany || size == 0
-        if (isHopeless) waiters.removeFirstOrNull()?.complete(error.left())
+        if (isHopeless) waiters.failNext(error)
     }
 
     private fun failWaiters(error: OpenError) {
-        while (waiters.isNotEmpty()) waiters.removeFirst().complete(error.left())
+        while (waiters.size > 0) waiters.failNext(error)
     }
 }
--- /dev/null
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
@@ -0,0 +1,109 @@
+package org.yuccawind.core.link
+
+import arrow.core.Either
+import arrow.core.right
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.junit.jupiter.api.Test
+import org.yuccawind.core.group.GroupMember
+import org.yuccawind.core.model.AvailabilityZone
+import org.yuccawind.core.model.BackendServerName
+import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.model.ServerRole
+
+class LinkPoolTest {
+    @Test
+    fun `at three times the capacity nine tenths of it are answered within their goal`() =
+        runTest {
+            val answers = load(pool(), arrivals = 450, every = WORK / 3) { 1 }
+            answers.count { it.elapsed <= GOAL } shouldBeGreaterThanOrEqual 150 * 9 / 10
+        }
+
+    @Test
+    fun `at three times the capacity the important ones are all answered within their goal`() =
+        runTest {
+            val answers = load(pool(), arrivals = 450, every = WORK / 3) { it % 5 }
+            answers.filter { it.priority == 0 && it.elapsed > GOAL }.shouldBeEmpty()
+        }
+
+    @Test
+    fun `a probe goes before all clients`() = runTest {
+        val pool = pool()
+        val link = checkNotNull(pool.acquire(1.seconds, urgency(0)))
+        val client = async { pool.acquire(1.seconds, urgency(0)) }
+        val probe = async { pool.acquire(1.seconds, LinkUrgency.PROBE) }
+        delay(1.milliseconds)
+        link.onRight(pool::release)
+        probe.await()
+        client.isCompleted shouldBe false
+        client.cancel()
+    }
+
+    private class Answer(val priority: Int, val elapsed: Duration)
+
+    /** Sends callers at a fixed rate and returns those that were answered. */
+    private suspend fun TestScope.load(
+        pool: LinkPool,
+        arrivals: Int,
+        every: Duration,
+        priorityOf: (Int) -> Int
+    ): List<Answer> = List(arrivals) { number ->
+        async {
+            delay(every * number)
+            val arrivedAt = testTimeSource.markNow()
+            val priority = priorityOf(number)
+            pool.acquire(PATIENCE, urgency(priority))?.onRight { link ->
+                delay(WORK)
+                pool.release(link)
+            }?.let { Answer(priority, arrivedAt.elapsedNow()) }
+        }
+    }.awaitAll().filterNotNull()
+
+    private fun TestScope.urgency(priority: Int) =
+        LinkUrgency(testTimeSource.markNow() + GOAL, priority)
+
+    private fun TestScope.pool() = LinkPool(
+        scope = backgroundScope,
+        time = testTimeSource,
+        limit = { 1 },
+        floor = { 1 },
+        answerTime = { WORK },
+        open = { PooledLink(MEMBER, OpenLink, testTimeSource).right() }
+    )
+
+    private object OpenLink : ServerLink {
+        override val isOpen = true
+        override val firstPosition: LogPoint? = null
+
+        override suspend fun exchange(
+            commands: List<LinkCommand>
+        ): Either<LinkLost, List<LinkReply>> = emptyList<LinkReply>().right()
+
+        override fun close() = Unit
+    }
+
+    private companion object {
+        val WORK = 20.milliseconds
+        val GOAL = 200.milliseconds
+        val PATIENCE = 800.milliseconds
+        val MEMBER = GroupMember(
+            name = BackendServerName("a"),
+            address = "127.0.0.1:1",
+            zone = AvailabilityZone("z"),
+            role = ServerRole.PRIMARY,
+            slots = 1,
+            isLeaving = false,
+            startedAtMs = 0
+        )
+    }
+}
