--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -3,6 +3,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -82,7 +83,10 @@
             need: ReadNeed,
             patience: Duration
         ): StatementAnswer? {
-            val attempt = context.scope.async { attempt(server, need, patience) }
+            // At once, so that the next read of a burst sees this one at the server.
+            val attempt = context.scope.async(start = CoroutineStart.UNDISPATCHED) {
+                attempt(server, need, patience)
+            }
             while (true) {
                 val answer = withTimeoutOrNull(SILENCE_CHECK) { Answer(attempt.await()) }
                 if (answer != null) return answer.value
