--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
@@ -6,6 +6,7 @@
 import java.net.Socket
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -18,16 +19,20 @@
 import org.yuccawind.standins.http.startServer
 import org.yuccawind.standins.platform.PlatformModel
 
+private const val EXIT_OK = 0
 private const val EXIT_USAGE = 2
 private const val SERVICE = "pairing"
 
+/** Time after which the stand-ins end by themselves: far longer than a rehearsal. */
+private val LIFETIME = 2.minutes
+
 /** Pause between two sessions of the client, and before an instance is looked for again. */
 private val SESSION_PAUSE = 50.milliseconds
 
 /**
  * Runs a store, its orders and a group of databases that speak the wire, writes the settings of an
- * instance before them to the file that is named, and sends that instance sessions until it is
- * ended. The build rehearses an instance against it.
+ * instance before them to the file that is named, and sends that instance sessions for two minutes
+ * at most. The build rehearses an instance against it.
  */
 fun main(args: Array<String>) {
     val file = args.singleOrNull() ?: run {
@@ -50,11 +55,13 @@
         store.write("op/config", configuration())
         val frontPort = freePort()
         File(file).writeText(settings(frontPort, server.activeLocalPort()))
-        while (true) {
+        val end = TimeSource.Monotonic.markNow() + LIFETIME
+        while (end.hasNotPassedNow()) {
             withContext(Dispatchers.IO) { runSessions(frontPort) }
             delay(SESSION_PAUSE)
         }
     }
+    exitProcess(EXIT_OK)
 }
 
 private fun freePort() = ServerSocket(0).use { it.localPort }
