--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
@@ -90,7 +90,7 @@
     grace_seconds: 1
 """.trimIndent()
 
-/** A session for each kind of route, with each kind of statement; ends early without an instance. */
+/** A session for each kind of route; ends early without an instance. */
 private fun runSessions(port: Int) {
     for (database in listOf("primary", "bounded_staleness", "read_your_writes", "unknown")) {
         try {
