--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/pool/IdleConnectionsLincheckTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/pool/IdleConnectionsLincheckTest.kt
@@ -10,6 +10,7 @@
 import org.jetbrains.lincheck.datastructures.Operation
 import org.junit.jupiter.api.Test
 import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.patient
 import org.yuccawind.core.port.Answer
 import org.yuccawind.core.port.BackendConnection
 import org.yuccawind.core.port.Command
@@ -28,7 +29,8 @@
     }
 
     private fun modelCheck(operations: KClass<*>) {
-        ModelCheckingOptions().iterations(ITERATIONS).invocationsPerIteration(INVOCATIONS)
+        ModelCheckingOptions().patient().iterations(ITERATIONS)
+            .invocationsPerIteration(INVOCATIONS)
             .actorsBefore(0).actorsPerThread(2).actorsAfter(0).minimizeFailedScenario(false)
             .check(operations.java)
     }
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/pool/PermitQueueLincheckTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/pool/PermitQueueLincheckTest.kt
@@ -9,6 +9,7 @@
 import org.jetbrains.lincheck.datastructures.Param
 import org.jetbrains.lincheck.datastructures.StressOptions
 import org.junit.jupiter.api.Test
+import org.yuccawind.core.patient
 
 private const val HELD_AT_START = 20
 private const val ITERATIONS = 3
@@ -30,7 +31,8 @@
     }
 
     private fun modelCheck(operations: KClass<*>) {
-        ModelCheckingOptions().iterations(ITERATIONS).invocationsPerIteration(INVOCATIONS)
+        ModelCheckingOptions().patient().iterations(ITERATIONS)
+            .invocationsPerIteration(INVOCATIONS)
             .actorsBefore(0).actorsPerThread(2).actorsAfter(0).minimizeFailedScenario(false)
             .check(operations.java)
     }
