--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/PatientModelChecking.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/PatientModelChecking.kt
@@ -6,9 +6,9 @@
 private const val HANG_LIMIT_MS = 120_000L
 
 /**
- * Gives an invocation more time than Lincheck's own limit. That limit includes the instrumentation
- * of the classes that the invocation is the first to use, which took longer beside load. The setting
- * is internal to Lincheck, under this name.
+ * Gives an invocation more time than Lincheck's own limit, which includes the instrumentation of
+ * the classes that the invocation is the first to use; that took longer beside load. The setting is
+ * internal to Lincheck, under this name.
  */
 internal fun ModelCheckingOptions.patient(): ModelCheckingOptions = apply {
     javaClass.getMethod("invocationTimeout\$lincheck", Long::class.java).invoke(this, HANG_LIMIT_MS)
