Short suspensions of a machine add up instead of being forgotten

Cause: SuspensionWatch took each look as the new base, so suspensions below its tolerance of 100 ms were forgotten one by one and evidence could grow older than its age says without bound. The tolerance was that wide since the thread may lose the processor between the two clocks. Ruled out: a smaller tolerance alone, which takes lost processor time for suspensions. A reading that took over 5 ms is repeated now.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/time/SuspensionWatch.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/time/SuspensionWatch.kt
@@ -2,13 +2,17 @@
 
 import kotlin.math.abs
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
-/**
- * Difference between the clocks that counts as a suspension. The two clocks are not read at the
- * same moment, and a thread may lose the processor for tens of milliseconds in between.
- */
-private const val TOLERANCE_MS = 100L
+/** Difference between the clocks that counts as a suspension. */
+private const val TOLERANCE_MS = 40L
+
+/** Greatest time between two readings of the steady clock with one of the time of day between. */
+private val READING_LIMIT = 5.milliseconds
+
+/** Readings that are tried: the thread may lose the processor in the middle of one. */
+private const val MAX_READINGS = 4
 
 /**
  * Notices that the machine was suspended. The steady clock leaves such time out, so ages measured
@@ -34,10 +38,23 @@
      */
     fun resumedAt(): ComparableTimeMark {
         val now = offset()
-        if (abs(now - offsetMs) > TOLERANCE_MS) noticedAt = steady.markNow()
-        offsetMs = now
+        // Smaller differences are kept: several short suspensions add up.
+        if (abs(now - offsetMs) > TOLERANCE_MS) {
+            noticedAt = steady.markNow()
+            offsetMs = now
+        }
         return noticedAt
     }
 
-    private fun offset() = wallClockMs() - startedAt.elapsedNow().inWholeMilliseconds
+    private fun offset(): Long {
+        var before = startedAt.elapsedNow()
+        var wallMs = wallClockMs()
+        repeat(MAX_READINGS - 1) {
+            val after = startedAt.elapsedNow()
+            if (after - before <= READING_LIMIT) return wallMs - before.inWholeMilliseconds
+            before = after
+            wallMs = wallClockMs()
+        }
+        return wallMs - before.inWholeMilliseconds
+    }
 }
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/time/SuspensionWatchTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/time/SuspensionWatchTest.kt
@@ -31,6 +31,32 @@
         watch.resumedAt() shouldBe start + 1.seconds
     }
 
+    @Test
+    fun `several short suspensions add up to one`() {
+        repeat(6) {
+            watch.resumedAt()
+            steady += 100.milliseconds
+            wallMs += 120
+        }
+        (watch.resumedAt() > start) shouldBe true
+    }
+
+    @Test
+    fun `a thread that loses the processor between the two clocks is no suspension`() {
+        var isInterrupted = true
+        val watch = SuspensionWatch(steady) {
+            if (isInterrupted) {
+                steady += 300.milliseconds
+                wallMs += 300
+            }
+            wallMs.also { isInterrupted = false }
+        }
+        repeat(5) {
+            isInterrupted = it % 2 == 0
+            watch.resumedAt() shouldBe start
+        }
+    }
+
     @Test
     fun `a step back may hide a suspension and counts as one`() {
         steady += 1.seconds
