Calls between instances: one that gets no reply leaves the others alone

Cause: a call without a reply in time closed the connection under every other call on it, which then waited for their whole limit; a fault while one message was answered ended in the scope's handler without a line. Ruled out: keeping the connection after any silence; it may have gone silent for good, so it is kept only if something came since the question was sent. Before: calls of seconds beside calls of 150 ms fail together. Conclusion: many short questions and few long ones can share a connection.

--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/metrics/Traffic.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/metrics/Traffic.kt
@@ -1,7 +1,7 @@
 package org.yuccawind.proxy.metrics
 
 /** Counts the bytes of one channel. */
-internal interface Traffic {
+interface Traffic {
     /** Counts [bytes] that left. */
     fun sent(bytes: Int)
 
--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/peer/KtorPeers.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/peer/KtorPeers.kt
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -28,11 +29,12 @@
 
 private val CALL_LIMIT = 1_000.milliseconds
 
+/** The connection on which a reply was waited for was given up. */
+private class ConnectionDropped : Exception("connection dropped")
+
 /** Calls other instances over one TCP connection each. */
-internal class KtorPeers(
-    private val scope: CoroutineScope,
-    private val traffic: Traffic = Traffic.None
-) : Peers {
+class KtorPeers(private val scope: CoroutineScope, private val traffic: Traffic = Traffic.None) :
+    Peers {
     private val selector = SelectorManager(Dispatchers.IO)
     private val links = ConcurrentHashMap<String, Link>()
 
@@ -47,11 +49,14 @@
         limit: Duration
     ): Either<PeerError, PeerMessage> {
         val link = links.computeIfAbsent(address) { Link(it) }
+        val askedAt = TimeSource.Monotonic.markNow()
         return try {
             withTimeoutOrNull(limit) { link.call(message) }?.right()
-                ?: link.silent(limit).left()
+                ?: link.silent(askedAt, limit).left()
         } catch (e: CancellationException) {
             throw e
+        } catch (e: ConnectionDropped) {
+            PeerError("$address: ${e.message}").left()
         } catch (e: Exception) {
             link.drop()
             PeerError("$address: ${e.javaClass.simpleName}").left()
@@ -64,6 +69,9 @@
         private val sequences = AtomicLong()
         private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerMessage>>()
         private var socket: Socket? = null
+
+        @Volatile
+        private var receivedAt: TimeSource.Monotonic.ValueTimeMark? = null
         private var output: ByteWriteChannel? = null
 
         suspend fun call(message: PeerMessage): PeerMessage {
@@ -85,11 +93,20 @@
             socket?.close()
             socket = null
             output = null
+            val dropped = ConnectionDropped()
+            waiting.values.forEach { it.completeExceptionally(dropped) }
         }
 
-        /** A connection without a reply in time may have gone silent: the next call opens anew. */
-        suspend fun silent(limit: Duration): PeerError {
-            drop()
+        /**
+         * A connection on which nothing came since [askedAt] may have gone silent: the next call
+         * opens anew.
+         */
+        suspend fun silent(
+            askedAt: TimeSource.Monotonic.ValueTimeMark,
+            limit: Duration
+        ): PeerError {
+            val isAlive = receivedAt?.let { it >= askedAt } == true
+            if (!isAlive) drop()
             return PeerError("$address: no reply in $limit")
         }
 
@@ -109,6 +126,7 @@
                 val input = from.openReadChannel()
                 while (true) {
                     val frame = input.readFrame(traffic)
+                    receivedAt = TimeSource.Monotonic.markNow()
                     waiting.remove(frame.sequence)?.complete(frame.message)
                 }
             } catch (e: CancellationException) {
--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/peer/PeerServer.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/peer/PeerServer.kt
@@ -6,6 +6,7 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteWriteChannel
 import java.util.concurrent.atomic.LongAdder
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -19,7 +20,7 @@
 import org.yuccawind.proxy.settings.Endpoint
 
 /** Listens for other instances. A connection that sends a bad frame is closed. */
-internal class PeerServer(
+class PeerServer(
     private val handler: PeerHandler,
     private val log: DecisionLog,
     private val traffic: Traffic = Traffic.None
@@ -52,10 +53,7 @@
             val writing = Mutex()
             while (true) {
                 val frame = input.readFrame(traffic)
-                scope.launch {
-                    val reply = frame.copy(message = handler.handle(frame.message))
-                    writing.withLock { runCatching { output.writeFrame(reply, traffic) } }
-                }
+                scope.launch { answer(frame, output, writing) }
             }
         } catch (e: CancellationException) {
             throw e
@@ -73,4 +71,16 @@
             socket.close()
         }
     }
+
+    /** A fault in one answer ends neither the connection nor the others. */
+    private suspend fun answer(frame: PeerFrame, output: ByteWriteChannel, writing: Mutex) {
+        try {
+            val reply = frame.copy(message = handler.handle(frame.message))
+            writing.withLock { output.writeFrame(reply, traffic) }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.record("peer_answer_failed", "reason" to e.message)
+        }
+    }
 }
