A transaction opens its connection with its begin; a left commit frees its place

Cause: away from home a transaction's first statement waited for a new connection and for the begin there. A client that left during its commit left the place of its connection counted as held for good. Ruled out: begin and first statement in one batch, which could run the statement outside the transaction. Before: first statement after a pause 8 ms in SharedConnectionsTest, two ways to a server; ten clients that leave use up a pool of three. After: at most 4 ms; no place is lost. Conclusion: what is late there are transactions of many statements, each with a way to the primary's zone.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -82,6 +82,7 @@
         if (transaction != null) return malformed("a transaction is open already")
         val current = route ?: return noDatabase()
         transaction = ClientTransaction(context, values, current, statement.isReadOnly)
+            .also { it.open() }
         return done()
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -2,6 +2,8 @@
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
@@ -16,8 +18,8 @@
 internal val ROLLBACK_LIMIT = 1.seconds
 
 /**
- * A client's transaction. It takes a connection with its first statement and keeps it to the end;
- * a connection that is lost ends the transaction, rolled back.
+ * A client's transaction. It takes a connection when it begins and keeps it to the end; a
+ * connection that is lost ends the transaction, rolled back.
  */
 internal class ClientTransaction(
     private val context: SessionContext,
@@ -27,6 +29,7 @@
 ) {
     private val group: ServerGroup? = context.groups(route.service)
     private var pin: Pin? = null
+    private var opening: Opening? = null
     private var hasWritten = false
     private var expiry: StatementAnswer? = null
 
@@ -34,6 +37,16 @@
     var state = SessionState.IN_TRANSACTION
         private set
 
+    /**
+     * Begins on a server while the client still reads the answer to its own begin.
+     *
+     * The load this answers: transactions of several statements, each with a way to the primary's
+     * zone; a connection opened with the first one would come on top.
+     */
+    fun open() {
+        opening = newOpening(context.time.markNow() + route.statementLimit)
+    }
+
     /** Runs a statement of the transaction. */
     suspend fun run(work: Work, trace: StatementTrace): StatementAnswer {
         if (isReadOnly && work.access == Access.WRITE) {
@@ -57,30 +70,37 @@
     suspend fun commit(id: String, trace: StatementTrace): StatementAnswer {
         val deadline = context.time.markNow() + route.statementLimit
         state = SessionState.IDLE
-        val pin = pin ?: pinned(deadline, trace)
-            ?: return refused(StatementCode.BUSY, "no server to begin on")
-        trace.server = pin.server.name
-        val sentAt = context.time.markNow()
-        val commands = listOf(LinkCommand.Commit(id))
-        val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())
-        unpin()
-        return when (result) {
-            is CallResult.Answered -> committed(pin, result, sentAt)
-            is CallResult.Lost -> lostCommit(result.wasSent)
-            CallResult.TimedOut -> lostCommit(wasSent = true)
+        try {
+            val pin = pin ?: pinned(deadline, trace)
+                ?: return refused(StatementCode.BUSY, "no server to begin on")
+            trace.server = pin.server.name
+            val sentAt = context.time.markNow()
+            val commands = listOf(LinkCommand.Commit(id))
+            return when (val result = pin.server.call(pin.link, commands, -deadline.elapsedNow())) {
+                is CallResult.Answered -> committed(pin, result, sentAt)
+                is CallResult.Lost -> lostCommit(result.wasSent)
+                CallResult.TimedOut -> lostCommit(wasSent = true)
+            }
+        } finally {
+            end()
         }
     }
 
     /** Rolls back; the connection serves others once the server has confirmed it. */
     fun rollback() {
-        val pinned = pin ?: return
+        val pinned = pin
+        val opened = opening
         pin = null
-        context.scope.launch {
-            try {
-                pinned.server.call(pinned.link, listOf(LinkCommand.Rollback), ROLLBACK_LIMIT)
-            } finally {
-                pinned.server.release(pinned.link)
-            }
+        opening = null
+        if (pinned == null && opened == null) return
+        context.scope.launch { (pinned ?: opened?.pin?.await())?.let { giveBack(it) } }
+    }
+
+    private suspend fun giveBack(pin: Pin) {
+        try {
+            pin.server.call(pin.link, listOf(LinkCommand.Rollback), ROLLBACK_LIMIT)
+        } finally {
+            pin.server.release(pin.link)
         }
     }
 
@@ -101,10 +121,29 @@
     fun takeExpiry(): StatementAnswer? = expiry.also { expiry = null }
 
     private suspend fun pinned(deadline: ComparableTimeMark, trace: StatementTrace): Pin? {
-        val group = group ?: return null
-        val begin = TransactionBegin(context, group, values, route, deadline, trace)
-        pin = if (isReadOnly) begin.onReader() else begin.onLeader()
-        return pin
+        val first = opening ?: newOpening(deadline).also { opening = it }
+        var found = first.pin.await()
+        trace.add(first.trace)
+        // An attempt that began with the transaction may have had less time than the statement.
+        if (found == null && opening === first && first.deadline < deadline) {
+            val second = newOpening(deadline).also { opening = it }
+            found = second.pin.await()
+            trace.add(second.trace)
+        }
+        if (opening == null) return null
+        opening = null
+        pin = found
+        return found
+    }
+
+    private fun newOpening(deadline: ComparableTimeMark): Opening {
+        val trace = StatementTrace()
+        return Opening(deadline, trace, context.scope.async { begin(deadline, trace) })
+    }
+
+    private suspend fun begin(deadline: ComparableTimeMark, trace: StatementTrace): Pin? {
+        val begin = TransactionBegin(context, group ?: return null, values, route, deadline, trace)
+        return if (isReadOnly) begin.onReader() else begin.onLeader()
     }
 
     private fun answerOf(pin: Pin, result: CallResult.Answered): StatementAnswer {
@@ -135,9 +174,11 @@
         return refused(code, "connection lost during the commit")
     }
 
-    private fun unpin() {
+    /** Gives the connection back, also when the client left during the commit. */
+    private fun end() {
         pin?.let { it.server.release(it.link) }
         pin = null
+        rollback()
     }
 
     private fun failWith(code: StatementCode, detail: String): StatementAnswer {
@@ -147,4 +188,10 @@
 
     private fun refused(code: StatementCode, detail: String) =
         StatementAnswer(emptyList(), StatementResult.Refused(code, detail), state)
+
+    private class Opening(
+        val deadline: ComparableTimeMark,
+        val trace: StatementTrace,
+        val pin: Deferred<Pin?>
+    )
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementTrace.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementTrace.kt
@@ -21,4 +21,12 @@
     /** Time spent waiting for connections. */
     var linkWait: Duration = Duration.ZERO
         internal set
+
+    /** Takes in what [other] tells of an earlier part of the way. */
+    internal fun add(other: StatementTrace) {
+        server = other.server ?: server
+        need = other.need ?: need
+        attempts += other.attempts
+        linkWait += other.linkWait
+    }
 }
