The rehearsal meets other instances; tests of listings and of full servers

Cause: the archive of classes came from a rehearsal without other instances, so a started instance away from home loaded the classes of its questions one by one, on a third of a core, while its first clients waited. Ruled out: a second rehearsed process; the listed others all lead back to the one that is rehearsed.

--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
@@ -1,9 +1,11 @@
 package org.yuccawind.core.link
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -49,6 +51,21 @@
         client.cancel()
     }
 
+    @Test
+    fun `a server that stays full is asked less and less often`() = runTest {
+        var asked = 0
+        val pool = pool {
+            asked++
+            OpenError.TooMany("full").left()
+        }
+        repeat(ATTEMPTS) {
+            pool.acquire(ATTEMPT_PERIOD, urgency(0))
+            delay(ATTEMPT_PERIOD)
+        }
+        // Pauses of 0.1, 0.2 and 0.4 s, then 0.8 s, each halved at most, within ten seconds.
+        asked shouldBeLessThanOrEqual 3 + 10_000 / 400
+    }
+
     private class Answer(val priority: Int, val elapsed: Duration)
 
     /** Sends callers at a fixed rate and returns those that were answered. */
@@ -72,7 +89,11 @@
     private fun TestScope.urgency(priority: Int) =
         LinkUrgency(testTimeSource.markNow() + GOAL, priority)
 
-    private fun TestScope.pool() = LinkPool(
+    private fun TestScope.pool(
+        open: suspend () -> Either<OpenError, PooledLink> = {
+            PooledLink(MEMBER, OpenLink, testTimeSource).right()
+        }
+    ) = LinkPool(
         scope = backgroundScope,
         time = testTimeSource,
         limit = { 1 },
@@ -80,7 +101,7 @@
         idleLimit = { 1.seconds },
         answerTime = { WORK },
         random = Random(3),
-        open = { PooledLink(MEMBER, OpenLink, testTimeSource).right() }
+        open = open
     )
 
     private object OpenLink : ServerLink {
@@ -95,6 +116,8 @@
     }
 
     private companion object {
+        const val ATTEMPTS = 1_000
+        val ATTEMPT_PERIOD = 10.milliseconds
         val WORK = 20.milliseconds
         val GOAL = 200.milliseconds
         val PATIENCE = 800.milliseconds
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
@@ -23,6 +23,9 @@
 private const val EXIT_USAGE = 2
 private const val SERVICE = "pairing"
 
+/** Other instances on the list: so many that the rehearsed one is no home and asks them. */
+private const val LISTED = 60
+
 /** Time after which the stand-ins end by themselves: far longer than a rehearsal. */
 private val LIFETIME = 2.minutes
 
@@ -54,7 +57,9 @@
         }
         store.write("op/config", configuration())
         val frontPort = freePort()
-        File(file).writeText(settings(frontPort, server.activeLocalPort()))
+        val peerPort = freePort()
+        repeat(LISTED) { store.write("yuccawind/instances/listed-$it", listing(peerPort)) }
+        File(file).writeText(settings(frontPort, server.activeLocalPort(), peerPort))
         val end = TimeSource.Monotonic.markNow() + LIFETIME
         while (end.hasNotPassedNow()) {
             withContext(Dispatchers.IO) { runSessions(frontPort) }
@@ -80,14 +85,18 @@
        "limits":{"headerTimeoutMs":3000,"txIdleMs":3000}}"""
 }
 
-private fun settings(frontPort: Int, storePort: Int) = """
+/** An instance at the address of the one that is rehearsed, which so asks itself. */
+private fun listing(peerPort: Int) = """{"zone":"z","peer":"127.0.0.1:$peerPort"}"""
+
+private fun settings(frontPort: Int, storePort: Int, peerPort: Int) = """
     instance: rehearsal
     availability_zone: z
     front_address: 127.0.0.1:$frontPort
     ready_address: 127.0.0.1:${freePort()}
     store_address: 127.0.0.1:$storePort
     order_address: 127.0.0.1:$storePort
-    peer_address: 127.0.0.1:${freePort()}
+    peer_address: 127.0.0.1:$peerPort
+    config_apply_ms: 6000
     grace_seconds: 1
 """.trimIndent()
 
