An outage is no absence, and a new home calls nothing silent

One instance counted 1 doubter of 1 home, and ordered a change of primary (log line doubt_tallied at 13.0 s). Time without a list counts as absence no longer. Ruled out for 2: load alone; ServerGroupTest shows it under virtual time. Before: a test of FleetViewTest (size 1 for 5) and one of ServerGroupTest fail. After: both pass.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
@@ -15,6 +15,12 @@
  */
 private val PRESENCE_MEMORY = 5.seconds
 
+/**
+ * Time without a list that counts as an outage of the platform. Listings that lapsed meanwhile come
+ * back within about two seconds of its end, so such time is not counted as absence.
+ */
+private val OUTAGE_GAP = 3_500.milliseconds
+
 /**
  * Time after the first list in which nobody is home yet: when all instances start at once, the
  * first ones on the list would all be home to everything.
@@ -34,6 +40,7 @@
     private val settlingTime: Duration = SETTLING_TIME
 ) {
     private val seenAt = HashMap<InstanceEntry, ComparableTimeMark>()
+    private var listedAt: ComparableTimeMark? = null
     private val homes = HashMap<HomesKey, List<InstanceEntry>>()
     private var zoneReaders: List<InstanceEntry>? = null
     private var firstListAt: ComparableTimeMark? = null
@@ -51,6 +58,9 @@
     fun onList(entries: List<InstanceEntry>) {
         val now = time.markNow()
         if (firstListAt == null) firstListAt = now
+        val gap = listedAt?.elapsedNow()
+        if (gap != null && gap >= OUTAGE_GAP) seenAt.replaceAll { _, seen -> seen + gap }
+        listedAt = now
         entries.forEach { entry ->
             // An instance that restarted at another address replaces its former entry.
             seenAt.keys.removeIf { it.name == entry.name && it != entry }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -51,6 +51,7 @@
     private val evidence = LeadEvidence(service, context)
     private val probe = LeaderProbe(this, context)
     private var maintenance: Job? = null
+    private var homeSince: ComparableTimeMark? = null
     private var question: Deferred<HomeAnswer>? = null
 
     /** Settings of the newest configuration. */
@@ -71,11 +72,15 @@
             .mapTo(HashSet()) { it.name }
 
     /**
-     * Time without a proof that a server leads. Away from home nobody asks without a need, so there
-     * the time counts from the first question that found no proof.
+     * Time without a proof that a server leads, while this instance asked for one. Away from home
+     * nobody asks without a need, so there it counts from the first question in vain.
      */
     val silence: Duration
-        get() = if (isHome) evidence.age else evidence.missedFor
+        get() = if (isHome) {
+            minOf(evidence.age, homeSince?.elapsedNow() ?: Duration.ZERO)
+        } else {
+            evidence.missedFor
+        }
 
     /**
      * True when no server has proved to lead for a while and none is about to: the last primary
@@ -244,6 +249,7 @@
      * Questions go on after the return.
      */
     fun maintain() {
+        homeSince = if (isHome) homeSince ?: context.time.markNow() else null
         if (maintenance?.isActive != true && isEvidenceDue()) {
             maintenance = context.scope.launch {
                 if (isHome) probe.run() else search(context.time.markNow() - PROBE_AFTER)
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/fleet/FleetViewTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/fleet/FleetViewTest.kt
@@ -43,10 +43,31 @@
     @Test
     fun `an instance counts for five seconds after the store has lost its listing`() = runTest {
         val view = view(fleet(5))
+        repeat(5) {
+            view.onList(emptyList())
+            view.size shouldBe 5
+            delay(1.seconds)
+        }
+        delay(100.milliseconds)
         view.onList(emptyList())
-        view.size shouldBe 5
-        delay(5_100.milliseconds)
-        view.onList(emptyList())
+        view.size shouldBe 1
+    }
+
+    @Test
+    fun `instances whose listings lapsed in an outage of the platform are waited for`() = runTest {
+        val view = view(fleet(5))
+        delay(8.seconds)
+        // The first list after the outage shows only who has listed itself again.
+        repeat(3) {
+            view.onList(fleet(1))
+            view.size shouldBe 5
+            delay(1.seconds)
+        }
+        delay(1.seconds)
+        repeat(3) {
+            delay(1.seconds)
+            view.onList(fleet(1))
+        }
         view.size shouldBe 1
     }
 
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
@@ -109,13 +109,28 @@
         group.isSilent shouldBe false
     }
 
+    @Test
+    fun `an instance that has just become home does not call a group silent`() = runTest {
+        applied = received
+        val group = group(settlingTime = 1.seconds)
+        delay(999.milliseconds)
+        group.isHome shouldBe false
+        delay(1.milliseconds)
+        group.isHome shouldBe true
+        group.isSilent shouldBe false
+        group.awaitLeader(patience = 100.milliseconds).shouldNotBeNull()
+    }
+
     /** A group of one server; this instance is home to it unless there are many [others]. */
-    private fun TestScope.group(others: Int = 0): ServerGroup {
+    private fun TestScope.group(
+        others: Int = 0,
+        settlingTime: Duration = Duration.ZERO
+    ): ServerGroup {
         val entries = List(others) { InstanceEntry("o$it", AvailabilityZone("other")) }
         val fleet = FleetView(
             InstanceEntry("i", AvailabilityZone("z")),
             testTimeSource,
-            settlingTime = Duration.ZERO
+            settlingTime
         )
         fleet.onList(entries + List(others) { InstanceEntry("p$it", fleet.zone) } + fleet.self)
         val context = GroupContext(
