--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/RegistryView.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/RegistryView.kt
@@ -12,7 +12,9 @@
 
 /** View of the backend server registrations as last read from the platform. */
 class RegistryView(private val time: TimeSource.WithComparableMarks) {
-    private var revision = 0L
+    /** Store revision of the last applied read; 0 before the first. */
+    var revision = 0L
+        private set
     private var readAt: ComparableTimeMark? = null
 
     /** Current registrations, with lapsed ones kept during the grace period after an outage. */
@@ -27,9 +29,12 @@
     val isCurrent get() = readableSince != null &&
         readAt?.let { it.elapsedNow() < STALE_AFTER } == true
 
-    /** Applies registrations read at store revision [revision]; ignores an older revision. */
-    fun onRead(revision: Long, listed: List<Registration>) {
-        if (revision < this.revision) return
+    /**
+     * Applies registrations read at store revision [revision]. Returns false if it ignored them
+     * because they are older than those applied before.
+     */
+    fun onRead(revision: Long, listed: List<Registration>): Boolean {
+        if (revision < this.revision) return false
         this.revision = revision
         val isFirst = readAt == null
         val gap = readAt?.elapsedNow()
@@ -37,6 +42,7 @@
         if (readableSince == null || (gap != null && gap >= STALE_AFTER)) readableSince = now
         readAt = now
         registrations = if (isFirst || !isInGracePeriod()) listed else listed + missing(listed)
+        return true
     }
 
     /** Records a failed read of the registrations. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
@@ -36,8 +36,9 @@
         lease = null
         when (val outcome = store.claim(LEASE_TTL)) {
             is ClaimOutcome.Claimed -> {
-                log.record("duty_claimed", "token" to outcome.claim.token)
-                lease = outcome.claim
+                val claim = outcome.claim
+                log.record("duty_claimed", "token" to claim.token, "lease" to claim.leaseId)
+                lease = claim
             }
 
             is ClaimOutcome.HeldBy -> log.record("duty_held", "holder" to outcome.holder)
