--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/platform/PlatformModel.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/platform/PlatformModel.kt
@@ -34,6 +34,9 @@
     private val faults = MutableStateFlow(PlatformFaults())
     private val instanceList = InstanceList(time)
 
+    /** Version of the newest change. */
+    val currentVersion: Long get() = version.value
+
     /** Counts of calls since the start. */
     val counts = PlatformCounts()
 
@@ -99,6 +102,20 @@
         return changes(prefix, after)
     }
 
+    /** Returns a copy of all keys, for [restore]. */
+    fun backUp(): PlatformBackup = lock.withLock {
+        PlatformBackup(version.value, values.toMap(), deletions.toList())
+    }
+
+    /** Replaces all keys by those in [backup]. Later versions are given out again. */
+    fun restore(backup: PlatformBackup) = lock.withLock {
+        values.clear()
+        values.putAll(backup.values)
+        deletions.clear()
+        deletions += backup.deletions
+        version.value = backup.version
+    }
+
     /** Sets the current list of instances; readers see it after the injected lag. */
     fun setInstances(entries: List<InstanceEntry>) = instanceList.set(entries)
 
@@ -140,8 +157,6 @@
         )
     }
 
-    private class Deletion(val key: String, val version: Long)
-
     private fun consumeReplyLoss(): Boolean {
         if (faults.value.loseReplies <= 0) return false
         faults.update { it.copy(loseReplies = it.loseReplies - 1) }
