Revisions and leases carry the era of the store that issued them

Cause: RegistryView ignored reads at a revision below the last one. The watch of the configuration and lease ids had the same cause: numbers compared across two histories of the store.

Ruled out: an unreadable store (no failed read after its return) and a lost doubt (none was posted).

Change: StoreRevision is a pair of era and number, ordered by era first; StoreLease has its era. StoreClient takes the era from each answer, drops answers of an earlier one, and refuses to use a revision or a lease in a later one. After a restore the registrations known here are kept for the time that servers have to write again, and a shutdown or restart of a server is not taken back.

An era rises with each restore, so a read of the restored store is never taken for an old one, whatever its number.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupMember.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupMember.kt
@@ -28,4 +28,11 @@
     /** Returns true if [other] is the same process at the same address. */
     fun isSameProcess(other: GroupMember) =
         name == other.name && address == other.address && startedAtMs == other.startedAtMs
+
+    /**
+     * Returns true if this describes a later state of the server than [other] does. A process that
+     * has announced its shutdown does not take this back.
+     */
+    fun isNewerThan(other: GroupMember) = startedAtMs > other.startedAtMs ||
+        (isSameProcess(other) && isLeaving && !other.isLeaving)
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import org.yuccawind.core.model.StoreRevision
 
 /** Store for the lease that lets only one instance at a time change primaries. */
 interface PromotionLeaseStore {
@@ -24,17 +25,20 @@
 /**
  * Exclusive right to change primaries, limited in time.
  *
- * @property token fencing token, higher than that of every earlier lease
+ * @property revision store revision at which it was granted or its token was last raised
  * @property leaseId id of the lease in the store
  * @property ttl time from a renewal to expiry
  * @property validUntil expiry unless renewed, by this instance's clock
  */
 data class PromotionLease(
-    val token: Long,
+    val revision: StoreRevision,
     val leaseId: Long,
     val ttl: Duration,
     val validUntil: ComparableTimeMark
-)
+) {
+    /** Fencing token, higher than that of every earlier lease. */
+    val token: Long get() = revision.number
+}
 
 /** Outcome of a request for the lease. */
 sealed interface ClaimOutcome {
