Instances that read through others follow a restored store

Callers would see: in a fleet of more than 16 instances a configuration written after the store came back from an older copy was not in force on instances that read through a reader (CONFIG).

Cause: the reader compared the revision that the requester had with its own by number, and answered "you have it already", with a fresh age, as the restored store counts from a lower number.

Evidence: RestoredStoreReadersTest only, version 2 for 3 on such instances after 5 s.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/peer/PeerMessage.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/peer/PeerMessage.kt
@@ -185,11 +185,16 @@
      * @property prefix common prefix of the keys
      * @property knownRevision platform revision of the items that the sender has; 0 for none
      * @property waitMs time to wait for another revision of a single item, in milliseconds
+     * @property knownEra era of [knownRevision]; 0 if unknown
      */
     @Serializable
     @SerialName("items-wanted")
-    data class ItemsWanted(val prefix: String, val knownRevision: Long, val waitMs: Long) :
-        PeerMessage
+    data class ItemsWanted(
+        val prefix: String,
+        val knownRevision: Long,
+        val waitMs: Long,
+        val knownEra: Long = 0
+    ) : PeerMessage
 
     /**
      * Reply to [ItemsWanted].
@@ -197,10 +202,16 @@
      * @property revision platform revision at which the items were read
      * @property ageUs time since the platform confirmed the items, in microseconds
      * @property items the items; null when the requester already has them
+     * @property era era of [revision] and of the revisions of the items; 0 if unknown
      */
     @Serializable
     @SerialName("items")
-    data class Items(val revision: Long, val ageUs: Long, val items: List<PeerItem>?) : PeerMessage
+    data class Items(
+        val revision: Long,
+        val ageUs: Long,
+        val items: List<PeerItem>?,
+        val era: Long = 0
+    ) : PeerMessage
 
     /** Empty reply. */
     @Serializable
