Fencing tokens begin with the era of the store

Callers would see: after a restore a new holder's promotion is refused (409) until the counter has passed the former token, or two holders order with the same token (rule ONE).

Cause: the token was the bare number of a revision, which a restored store issues again.

Change: the token is the era, shifted by 40 bits, plus the number. Both come from the answer that granted it. While instances of the former version run beside new ones, their lower tokens are refused once a new one was used.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
@@ -4,6 +4,9 @@
 import kotlin.time.Duration
 import org.yuccawind.core.model.StoreRevision
 
+/** Bits of a fencing token that hold the number of the revision. */
+private const val REVISION_NUMBER_BITS = 40
+
 /** Store for the lease that lets only one instance at a time change primaries. */
 interface PromotionLeaseStore {
     /** Requests the lease for at least [ttl], counted from before the request is sent. */
@@ -36,8 +39,11 @@
     val ttl: Duration,
     val validUntil: ComparableTimeMark
 ) {
-    /** Fencing token, higher than that of every earlier lease. */
-    val token: Long get() = revision.number
+    /**
+     * Fencing token, higher than that of every earlier lease. It begins with the era, since a
+     * restored store issues revision numbers again.
+     */
+    val token: Long get() = (revision.era shl REVISION_NUMBER_BITS) + revision.number
 }
 
 /** Outcome of a request for the lease. */
