A promotion lease that a restored store has lost is not used

Cause: validity was judged by the clock alone, though the restored store has no such lease and may grant it to another. Fencing keeps such orders apart; this change avoids the needless order.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
@@ -49,12 +49,14 @@
     }
 
     /**
-     * Returns true if [lease] has not expired by this instance's clock and the process was not
-     * suspended since its last renewal.
+     * Returns true if [lease] has not expired by this instance's clock, the store has not lost it,
+     * and the process was not suspended since its last renewal.
      */
     fun isValid(lease: PromotionLease): Boolean {
         val confirmedAt = lease.validUntil - lease.ttl
-        return lease.validUntil.hasNotPassedNow() && confirmedAt >= suspensions.resumedAt()
+        return lease.validUntil.hasNotPassedNow() &&
+            !store.isLost(lease) &&
+            confirmedAt >= suspensions.resumedAt()
     }
 
     /**
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
@@ -21,6 +21,9 @@
      */
     suspend fun raiseToken(lease: PromotionLease): PromotionLease?
 
+    /** Returns true if the store was restored since [lease] was granted, and so has lost it. */
+    fun isLost(lease: PromotionLease): Boolean
+
     /** Ends [lease] before it expires. */
     suspend fun release(lease: PromotionLease)
 }
