--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd)
-"$here/../run-case" "$here" PauseLeft
+"$here/../run-case" "$here" LateOrder
--- a/review/standin/Group.java
+++ b/review/standin/Group.java
@@ -32,8 +32,8 @@
     final Map<String, Database> databases = new HashMap<>();
     private final int workMs;
     private final double lagMs;
-    private final Random random = new Random(7);
     long term = 1;
+    private volatile long seq;
 
     /** Called when a database begins to run a client's statement. */
     volatile Runnable onStatement = () -> {};
@@ -64,21 +64,32 @@
     void register(Store store, String... zones) {
         List<Database> ordered = new ArrayList<>(databases.values());
         ordered.sort((a, b) -> a.name.compareTo(b.name));
+        for (int i = 0; i < ordered.size(); i++) ordered.get(i).zone = zones[i];
         World.daemon("heartbeats", () -> {
-            for (int seq = 1; ; seq++) {
-                for (int i = 0; i < ordered.size(); i++) {
-                    Database database = ordered.get(i);
-                    if (database.isDark) continue;
-                    store.put("servers/" + database.name, "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:"
-                        + database.port + "\",\"zone\":\"" + zones[i] + "\",\"version\":\"v1\",\"slots\":2,\"state\":\""
-                        + (database.isDraining ? "draining" : "ready") + "\",\"warmupLeftMs\":0,\"dbRole\":\""
-                        + (database.isPrimary ? "primary" : "replica") + "\",\"seq\":" + seq + ",\"born\":1790000000000}");
-                }
+            while (true) {
+                for (Database database : ordered) publish(store, database);
                 Thread.sleep(1_200);
             }
         });
     }
 
+    /** Writes the registration of one database, unless it is dark. */
+    void publish(Store store, Database database) {
+        if (database.isDark) return;
+        store.put("servers/" + database.name, "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:"
+            + database.port + "\",\"zone\":\"" + database.zone + "\",\"version\":\"v1\",\"slots\":2,\"state\":\""
+            + (database.isDraining ? "draining" : "ready") + "\",\"warmupLeftMs\":0,\"dbRole\":\""
+            + (database.isPrimary ? "primary" : "replica") + "\",\"seq\":" + (++seq) + ",\"born\":1790000000000}");
+    }
+
+    /** Returns one of the replicas, by turns. */
+    synchronized Database replica(int turn) {
+        List<Database> replicas = new ArrayList<>();
+        databases.values().stream().filter(it -> !it.isPrimary).forEach(replicas::add);
+        replicas.sort((a, b) -> a.name.compareTo(b.name));
+        return replicas.get(turn % replicas.size());
+    }
+
     synchronized Database primary() {
         return databases.values().stream().filter(it -> it.isPrimary).findFirst().orElse(null);
     }
@@ -131,9 +142,10 @@
         private final Random seeded;
         private int connections;
         private long macs;
-        boolean isPrimary;
+        String zone;
+        volatile boolean isPrimary;
         boolean isSource;
-        boolean isDraining;
+        volatile boolean isDraining;
         volatile boolean isDark;
         volatile boolean isDeaf;
         long term = 1;
