--- a/review/standin/Group.java
+++ b/review/standin/Group.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 /** One service: a primary and its replicas, each listening on a loopback port. */
 final class Group {
@@ -35,8 +36,8 @@
     long term = 1;
     private volatile long seq;
 
-    /** Called when a database begins to run a client's statement. */
-    volatile Runnable onStatement = () -> {};
+    /** Called with the id of a client's statement that has reached a database. */
+    volatile Consumer<String> onStatement = id -> {};
 
     /** Called when a replica has carried out PAUSE. */
     volatile Runnable onPause = () -> {};
@@ -358,7 +359,7 @@
 
             private String data(String id, boolean isWrite) throws InterruptedException {
                 arrived.add(id);
-                onStatement.run();
+                onStatement.accept(id);
                 return inSlot(() -> {
                     synchronized (Group.this) {
                         if (isWrite && !isPrimary) return refuse("READONLY");
--- a/review/standin/StartSignal.java
+++ b/review/standin/StartSignal.java
@@ -7,10 +7,17 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A signal reaches an instance that serves its first clients after its start. Argument: HUP or TERM. */
+/**
+ * Two of the three instances of a zone start again, and the platform uses all of them, since fewer than half are in
+ * rotation. A signal reaches one that serves its first clients. Arguments: HUP or TERM, and the time in milliseconds
+ * from its first statement at a database to the signal.
+ */
 final class StartSignal {
-    private static final String ZONE = "ch-mitte-c";
-    private static final int SESSIONS = 12;
+    private static final String ZONE = "ch-mitte-a";
+    private static final int SESSIONS = 16;
+
+    /** Sessions of the instance that gets the signal; the others are spread over the other two. */
+    private static final int ITS_SESSIONS = 10;
     private static final int BUDGET_MS = 2_000;
 
     public static void main(String[] args) throws Exception {
@@ -20,24 +27,36 @@
         Group group = new Group("match-core", 0, 20, 60, "i-1", "i-2", "i-3");
         Store store = new Store((service, id, holder, fence) -> 200);
         store.put("op/config", config(0));
-        group.register(store, "ch-mitte-a", "ch-mitte-b", ZONE);
-        World.Instance instance = new World.Instance("front-ch-mitte-c-1", ZONE, store.port, store.orderPort);
-        Thread.sleep(300);
+        group.register(store, ZONE, "ch-mitte-b", "ch-mitte-c");
+        World.Instance[] instances = new World.Instance[3];
+        for (int i = 0; i < 3; i++) {
+            instances[i] = new World.Instance("front-" + ZONE + "-" + (i + 1), ZONE, store.port, store.orderPort);
+        }
+        World.Instance instance = instances[0];
+        instances[2].start();
+        instances[2].awaitReady();
 
         CountDownLatch first = new CountDownLatch(1);
-        group.onStatement = first::countDown;
+        String firstPrefix = prefix(0);
+        group.onStatement = id -> {
+            if (id.startsWith(firstPrefix)) first.countDown();
+        };
         Set<String> cut = ConcurrentHashMap.newKeySet();
         AtomicLong answered = new AtomicLong();
         AtomicBoolean isOver = new AtomicBoolean();
         AtomicLong signalAt = new AtomicLong(Long.MAX_VALUE);
         List<Thread> sessions = new ArrayList<>();
         instance.start();
+        instances[1].start();
         for (int i = 0; i < SESSIONS; i++) {
-            String prefix = Integer.toHexString(0x1000 + i);
-            sessions.add(World.daemon("session " + prefix, () -> {
-                int number = 0;
+            int target = i < ITS_SESSIONS ? 0 : 1 + i % 2;
+            String prefix = prefix(target);
+            int number0 = i << 16;
+            int port = instances[target].front;
+            sessions.add(World.daemon("session", () -> {
+                int number = number0;
                 while (!isOver.get()) {
-                    try (Client client = new Client(instance.front, "lepu270")) {
+                    try (Client client = new Client(port, "lepu270")) {
                         while (!isOver.get()) {
                             String id = String.format("%s%08x", prefix, ++number);
                             long sentAt = World.nowMs();
@@ -56,7 +75,7 @@
             }));
         }
         if (!first.await(20, TimeUnit.SECONDS)) World.stop(2, "no statement reached a database");
-        World.note("the first statement has reached a database");
+        World.note("the first statement of the starting instance has reached a database");
         Thread.sleep(delayMs);
         if (World.isTrouble()) {
             signalAt.set(World.nowMs());
@@ -73,6 +92,11 @@
             + "; process alive: " + instance.process.isAlive());
     }
 
+    /** First characters of the ids of the statements sent to an instance. */
+    private static String prefix(int instance) {
+        return "100" + instance;
+    }
+
     static String config(int syncReplicas) {
         return "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"database\":\"lepu270\",\"type\":\"primary\","
             + "\"timeoutMs\":800,\"targetLatencyMs\":150,\"priority\":1,\"service\":\"match-core\"}],"
--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -113,7 +113,7 @@
 
         void signal(String signal) throws IOException, InterruptedException {
             note("%s gets SIG%s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
 
         boolean isReady() {
