--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -16,6 +16,9 @@
 import org.yuccawind.standins.database.DatabaseModel
 import org.yuccawind.standins.database.DatabaseSettings
 
+/** Interval between checks whether enough replicas have received a commit. */
+private val COMMIT_CHECK_PERIOD = 1.milliseconds
+
 /**
  * A database that serves the line protocol and is promoted by an external order.
  *
@@ -67,11 +70,17 @@
         faults.value = next
     }
 
-    /** True while replication to this server is paused. */
+    /** Term below which this server receives no log entries; 0 if replication is not paused. */
     @Volatile
-    var isPaused = false
+    var pausedBelowTerm = 0L
         private set
 
+    /** True while replication to this server is paused. */
+    val isPaused get() = pausedBelowTerm > 0
+
+    /** Returns the number of other databases of the group that have received a log point. */
+    internal var countCopies: (LogPoint) -> Int = { 0 }
+
     /** True after this server stepped down as primary, until the next promotion in its group. */
     @Volatile
     internal var hasSteppedDown = false
@@ -83,11 +92,23 @@
     }
 
     internal fun pause(term: Long) {
-        if (term > model.status().fence) isPaused = true
+        if (term > model.status().fence) pausedBelowTerm = term
     }
 
     internal fun resume() {
-        isPaused = false
+        pausedBelowTerm = 0
+    }
+
+    /**
+     * Suspends until [DatabaseSettings.syncReplicas] replicas have received the log up to [end].
+     * Returns false if another server becomes the primary before.
+     */
+    internal suspend fun awaitReplicated(end: LogPoint): Boolean {
+        while (countCopies(end) < settings.syncReplicas) {
+            if (!isPrimary && !hasSteppedDown) return false
+            delay(COMMIT_CHECK_PERIOD)
+        }
+        return true
     }
 
     /** Opens a connection. */
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireGroup.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireGroup.kt
@@ -29,6 +29,11 @@
     var isolated: Set<String> = emptySet()
 
     init {
+        for (database in databases.values) {
+            database.countCopies = { point ->
+                databases.values.count { it !== database && it.end >= point }
+            }
+        }
         databases.values.first().model.promote(1)
     }
 
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -94,8 +94,8 @@
     private fun administer(words: List<String>): List<String> = when (words[0]) {
         "STATUS" -> status()
         "STEPDOWN" -> stepDown(words[1].toLong())
-        "PAUSE" -> status().also { database.pause(words[1].toLong()) }
-        "RESUME" -> status().also { database.resume() }
+        "PAUSE" -> pause(words[1].toLong())
+        "RESUME" -> resume()
         else -> error("MALFORMED")
     }
 
@@ -125,7 +125,8 @@
     private suspend fun runData(id: String, text: String, command: String): List<String> {
         if (id == NO_ID) return error("MALFORMED")
         val isWrite = command.startsWith("put")
-        return database.inSlot {
+        var committed: LogPoint? = null
+        val reply = database.inSlot {
             // The server can lose the primary role while the statement waits for its slot.
             if (isWrite && !database.isPrimary) return@inSlot error("READONLY")
             recordExecution(id, text)
@@ -136,25 +137,33 @@
 
                 open != null -> doneWithId(id).also { open.writes += command }
 
-                else -> doneWithId(id).also { commitToModel(listOf(command)) }
+                else -> doneWithId(id).also { committed = commitToModel(listOf(command)) }
             }
         }
+        return acknowledge(reply, committed)
     }
 
     private suspend fun commit(id: String): List<String> {
         val open = transaction ?: return error("MALFORMED")
         if (id == NO_ID) return error("MALFORMED")
         transaction = null
-        return database.inSlot {
+        var committed: LogPoint? = null
+        val reply = database.inSlot {
             if (open.writes.isNotEmpty() && !database.isPrimary) return@inSlot error("READONLY")
             recordExecution(id, "COMMIT", open)
-            if (open.writes.isNotEmpty()) commitToModel(open.writes)
+            if (open.writes.isNotEmpty()) committed = commitToModel(open.writes)
             doneWithId(id)
         }
+        return acknowledge(reply, committed)
     }
 
-    private fun commitToModel(commands: List<String>) {
-        database.model.commit(database.model.status().fence, commands, null)
+    private fun commitToModel(commands: List<String>): LogPoint? =
+        database.model.commit(database.model.status().fence, commands, null)?.end
+
+    /** Returns [reply] once enough replicas have received the log up to [committed]. */
+    private suspend fun acknowledge(reply: List<String>, committed: LogPoint?): List<String> {
+        if (committed == null || database.awaitReplicated(committed)) return reply
+        return error("FAILED")
     }
 
     private fun recordExecution(id: String, text: String, within: Transaction? = transaction) {
@@ -177,8 +186,19 @@
 
     private fun status(): List<String> {
         val role = if (database.isPrimary) "primary" else "replica"
-        val term = logEnd().term
-        return listOf("ROW $role $term ${logEnd()} 0 0 0 ${database.connections}") + done()
+        val term = database.model.status().fence
+        val held = database.pausedBelowTerm
+        return listOf("ROW $role $term ${logEnd()} $held 0 0 ${database.connections}") + done()
+    }
+
+    private fun pause(term: Long): List<String> {
+        database.pause(term)
+        return status()
+    }
+
+    private fun resume(): List<String> {
+        database.resume()
+        return status()
     }
 
     private fun stepDown(term: Long): List<String> {
