With synchronous replicas the longest log is promoted, also while its server shuts down

Cause: chooseSuccessor passed over servers that shut down before it compared the logs. That suits asynchronous replicas, where no replica is known to hold all commits. With syncReplicas 1 a commit may be held by one replica only, and a draining one counts towards it until it ends. Ruled out: a report older than the pause (both reports are the answers to PAUSE).

Test: SyncReplicasTest, 'the replica with the longest log is promoted even while it shuts down', promoted b for c before. After: passes. The longest log is chosen among all replicas; whether a server stays decides between equal logs only, so nothing acknowledged is missing in the choice. Hand-overs wait until their successor has everything and keep choosing among those that stay.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -72,8 +72,9 @@
                 )
                 return false
             }
-            val successor = chooseSuccessor(group, reports) ?: return false
-            return promote(group, successor, lease)
+            val successor = longestLog(reports)
+            logSuccessor(group, successor, reports)
+            return successor != null && promote(group, successor, lease)
         } finally {
             reports.keys.forEach { it.resume(REPORT_TIMEOUT) }
         }
@@ -156,18 +157,31 @@
         val remaining = reports.filterKeys { !it.member.isLeaving }.ifEmpty { reports }
         val successor = remaining.entries
             .maxWithOrNull(compareBy({ it.value.received }, { it.key.position }))?.key
-        log.record(
-            "successor_chosen",
-            "service" to group.service,
-            "server" to successor?.name,
-            "reports" to reports.entries.joinToString(";") {
-                "${it.key.name}=${it.value.received}"
-            },
-            "sync_replicas" to group.settings.syncReplicas
-        )
+        logSuccessor(group, successor, reports)
         return successor
     }
 
+    /**
+     * Returns the server with the longest log, even if it is shutting down: another one may lack
+     * acknowledged commits. Only among equal logs, a server that stays is preferred.
+     */
+    private fun longestLog(reports: Map<GroupServer, ServerReport>): GroupServer? =
+        reports.entries.maxWithOrNull(
+            compareBy({ it.value.received }, { !it.key.member.isLeaving }, { it.key.name.value })
+        )?.key
+
+    private fun logSuccessor(
+        group: ServerGroup,
+        successor: GroupServer?,
+        reports: Map<GroupServer, ServerReport>
+    ) = log.record(
+        "successor_chosen",
+        "service" to group.service,
+        "server" to successor?.name,
+        "reports" to reports.entries.joinToString(";") { "${it.key.name}=${it.value.received}" },
+        "sync_replicas" to group.settings.syncReplicas
+    )
+
     private suspend fun promote(
         group: ServerGroup,
         successor: GroupServer,
