A change of primary that left replicas paused is completed by any home

Cause: the pause had no owner beyond the coroutine that placed it. Each status names it, but nothing read that field, so neither an instance that started nor the watch of a trusted primary undid it.

A paused replica leads to the verdict Finish, whatever the primary does: the holder of the lease looks again and completes the change. It is completed and not undone, since the instance that began it may have sent an order that is still carried out.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -69,6 +69,10 @@
     var answerTime = INITIAL_ANSWER_TIME
         private set
 
+    /** True if the server's newest status shows that replication to it is paused. */
+    var isPaused = false
+        private set
+
     /** True if a read skipped this server since its log position was last requested. */
     internal var needsPositionRefresh = false
 
@@ -125,6 +129,7 @@
 
     /** Records that the server could not be reached or did not answer in time. */
     fun recordFailure() {
+        isPaused = false
         if (failingSince == null) failingSince = time.markNow()
     }
 
@@ -164,6 +169,7 @@
     private fun recordAnswer(replies: List<LinkReply>) {
         answeredAt = time.markNow()
         failingSince = null
+        replies.lastOrNull { it.report != null }?.report?.let { isPaused = it.isPaused }
         val end = replies.lastOrNull()?.position ?: return
         position = end
         evidence.recordAnswer(name, end)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -53,6 +53,7 @@
     private val byName = LinkedHashMap<BackendServerName, GroupServer>()
     private val evidence = LeadershipEvidence(service, context)
     private val probe = LeaderProbe(this, context)
+    private val pauseCheck = PauseCheck(this, context)
     private var maintenance: Job? = null
     private var homeRoleSince: ComparableTimeMark? = null
     private var homeQuery: Deferred<HomeAnswer>? = null
@@ -103,6 +104,9 @@
     /** All registered servers. */
     val servers: Collection<GroupServer> get() = byName.values
 
+    /** True if a replica is known to be paused. */
+    val hasPausedReplicas: Boolean get() = servers.any { it !== leader && it.isPaused }
+
     /** The newest certificate of leadership, or null. */
     val newestEvidence: Certificate? get() = evidence.evidenceStore.newestCertificate()
 
@@ -281,6 +285,7 @@
             }
         }
         refreshSkippedPositions()
+        pauseCheck.poll()
         servers.forEach { it.trim() }
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerReport.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerReport.kt
@@ -10,4 +10,7 @@
  * @property received end of the log that it has received, applied or not
  * @property pausedBelowTerm it receives no log entries of terms below this one; 0 if not paused
  */
-data class ServerReport(val role: ServerRole, val received: LogPoint, val pausedBelowTerm: Long)
+data class ServerReport(val role: ServerRole, val received: LogPoint, val pausedBelowTerm: Long) {
+    /** True while replication to the server is paused. */
+    val isPaused get() = pausedBelowTerm > 0
+}
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -80,6 +80,23 @@
         }
     }
 
+    /**
+     * Completes a change that was begun and left unfinished, with replicas paused. Returns true if
+     * no replica is paused any longer.
+     *
+     * The change is completed and not undone: the instance that began it may have ordered a
+     * promotion that is still carried out, which would roll back commits acknowledged until then.
+     */
+    suspend fun finish(group: ServerGroup): Boolean {
+        if (!hasPausedReplicas(group)) return true
+        val lease = leaseHolder.acquire() ?: return false
+        // The holder before may have completed it.
+        return !hasPausedReplicas(group) || replaceWithoutLoss(group, lease)
+    }
+
+    private suspend fun hasPausedReplicas(group: ServerGroup) =
+        reportsOf(group.servers).values.any { it.isPaused }
+
     /** Hands over from a working primary without losing a commit. */
     suspend fun handOver(group: ServerGroup): Boolean {
         val primary = group.leader ?: return false
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
@@ -17,6 +17,7 @@
  * @property suspicionShare share of the homes that the primary does not answer, from 0 to 1
  * @property denials number of servers that recently denied being the primary
  * @property registered number of registered servers
+ * @property hasPausedReplicas true if a replica is paused, which a change of primary does
  */
 data class PrimaryFacts(
     val silence: Duration,
@@ -29,5 +30,6 @@
     val isAnswering: Boolean,
     val suspicionShare: Double,
     val denials: Int,
-    val registered: Int
+    val registered: Int,
+    val hasPausedReplicas: Boolean
 )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
@@ -28,12 +28,20 @@
      */
     data object HandOver : PrimaryVerdict
 
+    /**
+     * Replicas are paused, so a change of primary was begun and not completed. No commit is
+     * acknowledged until it is.
+     */
+    data object Finish : PrimaryVerdict
+
     /** The group has no working primary. */
     data class Replace(val reason: String) : PrimaryVerdict
 
     companion object {
         /** Returns the verdict that follows from [facts]. */
         fun of(facts: PrimaryFacts): PrimaryVerdict = when {
+            facts.hasPausedReplicas && facts.areRegistrationsCurrent -> Finish
+
             facts.silence < SUSPICION_TIMEOUT -> if (shouldHandOver(facts)) HandOver else Trusted
 
             !facts.areRegistrationsCurrent -> Waiting("registrations can't be read")
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
@@ -82,7 +82,12 @@
     }
 
     private fun isAction(verdict: PrimaryVerdict) = when (verdict) {
-        PrimaryVerdict.Doubted, PrimaryVerdict.HandOver, is PrimaryVerdict.Replace -> true
+        PrimaryVerdict.Doubted,
+        PrimaryVerdict.Finish,
+        PrimaryVerdict.HandOver,
+        is PrimaryVerdict.Replace
+        -> true
+
         PrimaryVerdict.Trusted, is PrimaryVerdict.Waiting -> false
     }
 
@@ -92,6 +97,7 @@
         if (current::class != initial::class) return
         val isDone = when (current) {
             PrimaryVerdict.Doubted -> isSuspicionShared() && change.replace(group)
+            PrimaryVerdict.Finish -> change.finish(group)
             PrimaryVerdict.HandOver -> change.handOver(group)
             is PrimaryVerdict.Replace -> change.replace(group)
             PrimaryVerdict.Trusted, is PrimaryVerdict.Waiting -> true
@@ -165,7 +171,8 @@
             isAnswering = group.isLastLeaderAnswering,
             suspicionShare = primary?.let { suspicionShare(it.name) } ?: 0.0,
             denials = group.servers.count { it.hasDeniedLeadershipWithin(DENIAL_MAX_AGE) },
-            registered = group.servers.size
+            registered = group.servers.size,
+            hasPausedReplicas = group.hasPausedReplicas
         )
     }
 }
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/primary/PrimaryVerdictTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/primary/PrimaryVerdictTest.kt
@@ -18,7 +18,8 @@
         isAnswering = true,
         suspicionShare = 0.0,
         denials = 2,
-        registered = 3
+        registered = 3,
+        hasPausedReplicas = false
     )
     private val silent = healthy.copy(silence = 2.seconds, isAnswering = false)
 
@@ -40,6 +41,16 @@
         PrimaryVerdict.of(healthy.copy(suspicionShare = 0.125)) shouldBe PrimaryVerdict.Trusted
     }
 
+    @Test
+    fun `a change that left replicas paused is completed whatever the primary does`() {
+        val paused = healthy.copy(hasPausedReplicas = true)
+        PrimaryVerdict.of(paused) shouldBe PrimaryVerdict.Finish
+        PrimaryVerdict.of(paused.copy(silence = 2.seconds, isAnswering = false)) shouldBe
+            PrimaryVerdict.Finish
+        PrimaryVerdict.of(paused.copy(areRegistrationsCurrent = false)) shouldBe
+            PrimaryVerdict.Trusted
+    }
+
     @Test
     fun `a silent primary is suspected but not replaced while it is registered`() {
         PrimaryVerdict.of(silent) shouldBe PrimaryVerdict.Doubted
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -91,7 +91,8 @@
         model.fence(term)
     }
 
-    internal fun pause(term: Long) {
+    /** Pauses replication to this server if [term] is above every term that it knows. */
+    fun pause(term: Long) {
         if (term > model.status().fence) pausedBelowTerm = term
     }
 
