Replicas stay paused until a promotion has taken effect

Cause: replaceWithoutLoss resumed the replicas in 'finally', also when its orders had got no answer and could still be carried out. Commits were acknowledged again by whichever replica came first, and the late order then promoted the one chosen long before. In some rounds the RESUME of a holder whose lease was over undid the PAUSE of the next one. Ruled out: the choice of the server, which was right when it was made.

Now whoever has sent an order leaves the replicas paused until a promotion has taken effect; the holder of the next lease completes the change with a higher token, after which the platform refuses the late orders. A server whose order got no answer is chosen again among equal logs. RESUME is sent only after a promotion, or if no order can have been sent since the pause, and only under the lease of the pause. Weighed: an order for the present primary, to outdate the late ones, and then RESUME. It would keep the primary, but an order already being carried out takes effect after it, while commits are acknowledged.

A stand-in that compared log ends across terms told a commit of the former primary acknowledged when the next one was promoted; it looks at the role first now.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -1,83 +1,58 @@
 package org.yuccawind.core.primary
 
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.group.ServerReport
-import org.yuccawind.core.group.pause
 import org.yuccawind.core.group.report
-import org.yuccawind.core.group.resume
 import org.yuccawind.core.group.stepDown
 import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.port.DecisionLog
 
-/** Timeout of a server's status report, which may wait for a statement slot. */
-private val REPORT_TIMEOUT = 400.milliseconds
-
 /** Time for the successor to receive everything that the stepped-down primary has written. */
 private val CATCH_UP_TIMEOUT = 800.milliseconds
 
 /** Interval between status requests to a server that is catching up. */
 private val CATCH_UP_POLL_INTERVAL = 15.milliseconds
 
-/** Delay before an unanswered promotion order is retried. */
-private val ORDER_RETRY_DELAY = 100.milliseconds
-
-/** Time for a promoted server to become primary: twice what the platform usually takes. */
-private val TAKEOVER_TIMEOUT = 1_500.milliseconds
-
-/** Interval between probes for the new primary. */
-private val PROBE_INTERVAL = 30.milliseconds
-
-/** Added to the newest known term when pausing replicas, to cover changes not seen here yet. */
-private const val PAUSE_TERM_MARGIN = 100L
-
 /** Carries out changes of primary by ordering promotions from the platform. */
 class PrimaryChange(
     private val leaseHolder: PromotionLeaseHolder,
-    private val orders: PrimaryOrders,
+    orders: PrimaryOrders,
     private val log: DecisionLog
 ) {
+    private val sender = PromotionSender(leaseHolder, orders, log)
+    private val pause = ReplicaPause(leaseHolder, log)
+
     /** Replaces a failed primary. Returns true once the successor is the primary. */
     suspend fun replace(group: ServerGroup): Boolean {
         val lease = leaseHolder.acquire() ?: return false
         if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease)
         val successor = chooseSuccessor(group, reportsOf(group.servers)) ?: return false
-        return promote(group, successor, lease)
+        return sender.promote(group, successor, lease)
     }
 
     /**
      * Replaces the primary of a group with synchronous replication. Each acknowledged commit is on
      * some replica, but it is not known on which. So all replicas are paused, which stops further
      * acknowledgements, and the one with the longest log is promoted.
+     *
+     * Once an order has been sent, the replicas stay paused until a promotion has taken effect. An
+     * order without an answer may be carried out seconds later; nothing is lost by it while nothing
+     * is acknowledged, and a later order with a higher token makes it void.
      */
     private suspend fun replaceWithoutLoss(group: ServerGroup, lease: PromotionLease): Boolean {
-        val replicas = group.servers.filter { it !== group.lastLeader }
-        val term = (group.newestEvidence?.end?.term ?: 0) + PAUSE_TERM_MARGIN
-        val reports = reportsOf(replicas) { it.pause(term, REPORT_TIMEOUT) }
-        try {
-            if (reports.size < replicas.size) {
-                log.record(
-                    "successor_refused",
-                    "service" to group.service,
-                    "reason" to "a replica that may hold commits did not answer",
-                    "answered" to reports.size,
-                    "replicas" to replicas.size
-                )
-                return false
-            }
-            val successor = longestLog(reports)
-            logSuccessor(group, successor, reports)
-            return successor != null && promote(group, successor, lease)
-        } finally {
-            reports.keys.forEach { it.resume(REPORT_TIMEOUT) }
-        }
+        val outstanding = sender.unansweredOrder(group.service)
+        val reports = pause.pauseAll(group, lease, isOrderOutstanding = outstanding != null)
+            ?: return false
+        val successor = longestLog(reports, outstanding)
+        logSuccessor(group, successor, reports)
+        if (successor == null || !sender.promote(group, successor, lease)) return false
+        pause.resume(group, lease)
+        return true
     }
 
     /**
@@ -88,15 +63,12 @@
      * promotion that is still carried out, which would roll back commits acknowledged until then.
      */
     suspend fun finish(group: ServerGroup): Boolean {
-        if (!hasPausedReplicas(group)) return true
+        if (!pause.isAnyPaused(group)) return true
         val lease = leaseHolder.acquire() ?: return false
         // The holder before may have completed it.
-        return !hasPausedReplicas(group) || replaceWithoutLoss(group, lease)
+        return !pause.isAnyPaused(group) || replaceWithoutLoss(group, lease)
     }
 
-    private suspend fun hasPausedReplicas(group: ServerGroup) =
-        reportsOf(group.servers).values.any { it.isPaused }
-
     /** Hands over from a working primary without losing a commit. */
     suspend fun handOver(group: ServerGroup): Boolean {
         val primary = group.leader ?: return false
@@ -104,7 +76,7 @@
         val successor = caughtUpSuccessor(group, primary) ?: return false
         val end = stepDown(group, primary)
         if (end != null) awaitReceived(group, successor, end)
-        return promote(group, successor, lease)
+        return sender.promote(group, successor, lease)
     }
 
     /**
@@ -157,15 +129,6 @@
     private suspend fun reportsOf(servers: Collection<GroupServer>) =
         reportsOf(servers) { it.report(REPORT_TIMEOUT) }
 
-    private suspend fun reportsOf(
-        servers: Collection<GroupServer>,
-        request: suspend (GroupServer) -> ServerReport?
-    ): Map<GroupServer, ServerReport> = coroutineScope {
-        servers.map { it to async { request(it) } }
-            .mapNotNull { (server, report) -> report.await()?.let { server to it } }
-            .toMap()
-    }
-
     /** Returns the server with the longest log, preferring servers that are not shutting down. */
     private fun chooseSuccessor(
         group: ServerGroup,
@@ -180,12 +143,21 @@
 
     /**
      * Returns the server with the longest log, even if it is shutting down: another one may lack
-     * acknowledged commits. Only among equal logs, a server that stays is preferred.
+     * acknowledged commits. Among equal logs the one whose promotion is [outstanding] comes first,
+     * so that no second server is promoted after it, then one that stays. The choice depends on
+     * nothing that differs between instances, as another one may repeat it.
      */
-    private fun longestLog(reports: Map<GroupServer, ServerReport>): GroupServer? =
-        reports.entries.maxWithOrNull(
-            compareBy({ it.value.received }, { !it.key.member.isLeaving }, { it.key.name.value })
-        )?.key
+    private fun longestLog(
+        reports: Map<GroupServer, ServerReport>,
+        outstanding: BackendServerName?
+    ): GroupServer? = reports.entries.maxWithOrNull(
+        compareBy(
+            { it.value.received },
+            { it.key.name == outstanding },
+            { !it.key.member.isLeaving },
+            { it.key.name.value }
+        )
+    )?.key
 
     private fun logSuccessor(
         group: ServerGroup,
@@ -198,50 +170,4 @@
         "reports" to reports.entries.joinToString(";") { "${it.key.name}=${it.value.received}" },
         "sync_replicas" to group.settings.syncReplicas
     )
-
-    private suspend fun promote(
-        group: ServerGroup,
-        successor: GroupServer,
-        lease: PromotionLease
-    ): Boolean {
-        val isPromoted = order(group, successor.name, lease)
-        if (!isPromoted) leaseHolder.raiseToken(lease)
-        return isPromoted
-    }
-
-    private suspend fun order(
-        group: ServerGroup,
-        name: BackendServerName,
-        lease: PromotionLease
-    ): Boolean {
-        while (leaseHolder.isValid(lease)) {
-            val outcome = orders.promote(group.service, name, lease.token)
-            log.record(
-                "promotion_ordered",
-                "service" to group.service,
-                "server" to name,
-                "token" to lease.token,
-                "outcome" to outcome
-            )
-            when (outcome) {
-                OrderOutcome.Accepted -> return awaitLeadership(group, name)
-
-                is OrderOutcome.Refused -> {
-                    leaseHolder.discard(lease)
-                    return false
-                }
-
-                is OrderOutcome.NoAnswer, is OrderOutcome.Unavailable -> delay(ORDER_RETRY_DELAY)
-            }
-        }
-        return false
-    }
-
-    private suspend fun awaitLeadership(group: ServerGroup, name: BackendServerName): Boolean {
-        val limit: Duration = TAKEOVER_TIMEOUT
-        return withTimeoutOrNull(limit) {
-            while (group.leader?.name != name || !group.probeLeader()) delay(PROBE_INTERVAL)
-            true
-        } ?: false
-    }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
@@ -48,6 +48,16 @@
         lease
     }
 
+    /**
+     * Returns true if this instance still holds [used] for long enough for one order, renewing it if
+     * needed.
+     */
+    suspend fun extend(used: PromotionLease): Boolean = mutex.withLock {
+        val held = lease?.takeIf { it.leaseId == used.leaseId && isValid(it) }
+        if (held != null && !hasTimeForOrder(held)) lease = store.renew(held)
+        held != null && lease?.let(::hasTimeForOrder) == true
+    }
+
     /**
      * Returns true if [lease] has not expired by this instance's clock, the store has not lost it,
      * and the process was not suspended since its last renewal.
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
@@ -0,0 +1,88 @@
+package org.yuccawind.core.primary
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccawind.core.group.GroupServer
+import org.yuccawind.core.group.ServerGroup
+import org.yuccawind.core.model.BackendServerName
+import org.yuccawind.core.model.ServiceName
+import org.yuccawind.core.port.DecisionLog
+
+/** Delay before an unanswered promotion order is retried. */
+private val ORDER_RETRY_DELAY = 100.milliseconds
+
+/** Time for a promoted server to become primary: twice what the platform usually takes. */
+private val TAKEOVER_TIMEOUT = 1_500.milliseconds
+
+/** Interval between probes for the new primary. */
+private val PROBE_INTERVAL = 30.milliseconds
+
+/** Orders promotions from the platform and waits until they have taken effect. */
+internal class PromotionSender(
+    private val leaseHolder: PromotionLeaseHolder,
+    private val orders: PrimaryOrders,
+    private val log: DecisionLog
+) {
+    private val unanswered = HashMap<ServiceName, BackendServerName>()
+
+    /**
+     * Returns the server of [service] whose promotion this instance has ordered without an answer,
+     * so that it may still be carried out; null if there is none.
+     */
+    fun unansweredOrder(service: ServiceName): BackendServerName? = unanswered[service]
+
+    /**
+     * Has [successor] promoted under [lease]. Returns true once it is the primary. After false the
+     * promotion may still be carried out.
+     */
+    suspend fun promote(
+        group: ServerGroup,
+        successor: GroupServer,
+        lease: PromotionLease
+    ): Boolean {
+        val isPromoted = order(group, successor.name, lease)
+        if (isPromoted) unanswered.remove(group.service)
+        if (!isPromoted) leaseHolder.raiseToken(lease)
+        return isPromoted
+    }
+
+    private suspend fun order(
+        group: ServerGroup,
+        name: BackendServerName,
+        lease: PromotionLease
+    ): Boolean {
+        while (leaseHolder.isValid(lease)) {
+            val outcome = orders.promote(group.service, name, lease.token)
+            log.record(
+                "promotion_ordered",
+                "service" to group.service,
+                "server" to name,
+                "token" to lease.token,
+                "outcome" to outcome
+            )
+            when (outcome) {
+                OrderOutcome.Accepted -> return awaitLeadership(group, name)
+
+                is OrderOutcome.Refused -> {
+                    leaseHolder.discard(lease)
+                    return false
+                }
+
+                is OrderOutcome.NoAnswer -> {
+                    unanswered[group.service] = name
+                    delay(ORDER_RETRY_DELAY)
+                }
+
+                is OrderOutcome.Unavailable -> delay(ORDER_RETRY_DELAY)
+            }
+        }
+        return false
+    }
+
+    private suspend fun awaitLeadership(group: ServerGroup, name: BackendServerName): Boolean =
+        withTimeoutOrNull(TAKEOVER_TIMEOUT) {
+            while (group.leader?.name != name || !group.probeLeader()) delay(PROBE_INTERVAL)
+            true
+        } ?: false
+}
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -105,11 +105,11 @@
      * Returns false if another server becomes the primary before.
      */
     internal suspend fun awaitReplicated(end: LogPoint): Boolean {
-        while (countCopies(end) < settings.syncReplicas) {
-            if (!isPrimary && !hasSteppedDown) return false
+        while (isPrimary || hasSteppedDown) {
+            if (countCopies(end) >= settings.syncReplicas) return true
             delay(COMMIT_CHECK_PERIOD)
         }
-        return true
+        return false
     }
 
     /** Opens a connection. */
