A lease given up by one change is valid for no other of the same instance

Callers would see, with syncReplicas 1: an instance resumes the replicas that the next holder has paused, and commits acknowledged then are rolled back.

Cause: all changes of an instance share one lease, but each judged it by its own copy. A change whose order is refused ends the lease in the store, as a stop does; the copies of the others stayed valid by the clock for up to three seconds. Nor did a copy with a raised token count as the lease given up. Conversely a lease renewed by one change ran out for the others.

isValid looks at the lease that the holder has now.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
@@ -31,7 +31,7 @@
      */
     suspend fun acquire(): PromotionLease? = mutex.withLock {
         lease?.takeIf(::hasTimeForOrder)?.let { return it }
-        lease = lease?.takeIf(::isValid)?.let { store.renew(it) }
+        lease = lease?.takeIf(::isUnexpired)?.let { store.renew(it) }
         lease?.takeIf(::hasTimeForOrder)?.let { return it }
         lease = null
         when (val outcome = store.claim(LEASE_TTL)) {
@@ -53,21 +53,18 @@
      * needed.
      */
     suspend fun extend(used: PromotionLease): Boolean = mutex.withLock {
-        val held = lease?.takeIf { it.leaseId == used.leaseId && isValid(it) }
+        val held = lease?.takeIf { it.isSameAs(used) && isUnexpired(it) }
         if (held != null && !hasTimeForOrder(held)) lease = store.renew(held)
         held != null && lease?.let(::hasTimeForOrder) == true
     }
 
     /**
-     * Returns true if [lease] has not expired by this instance's clock, the store has not lost it,
-     * and the process was not suspended since its last renewal.
+     * Returns true if this instance still holds [used], which another change may have renewed or
+     * given up since: it has not expired by this instance's clock, the store has not lost it, and
+     * the process was not suspended since its last renewal.
      */
-    fun isValid(lease: PromotionLease): Boolean {
-        val confirmedAt = lease.validUntil - lease.ttl
-        return lease.validUntil.hasNotPassedNow() &&
-            !store.isLost(lease) &&
-            confirmedAt >= suspensions.resumedAt()
-    }
+    fun isValid(used: PromotionLease): Boolean =
+        lease?.let { it.isSameAs(used) && isUnexpired(it) } == true
 
     /**
      * Raises the token of [used]. An earlier order with the current token may still be carried out;
@@ -81,17 +78,25 @@
 
     /** Discards [refused], whose token the platform no longer accepts. */
     suspend fun discard(refused: PromotionLease) = mutex.withLock {
-        if (lease?.token == refused.token) lease = null
+        if (lease?.isSameAs(refused) == true) lease = null
         log.record("duty_lost", "token" to refused.token)
         store.release(refused)
     }
 
     /** Releases the lease, so that another instance need not wait until it expires. */
     suspend fun release() = mutex.withLock {
-        lease?.let { store.release(it) }
+        val held = lease
         lease = null
+        if (held != null) store.release(held)
+    }
+
+    private fun isUnexpired(lease: PromotionLease): Boolean {
+        val confirmedAt = lease.validUntil - lease.ttl
+        return lease.validUntil.hasNotPassedNow() &&
+            !store.isLost(lease) &&
+            confirmedAt >= suspensions.resumedAt()
     }
 
     private fun hasTimeForOrder(lease: PromotionLease) =
-        isValid(lease) && -lease.validUntil.elapsedNow() >= MIN_TIME_FOR_ORDER
+        isUnexpired(lease) && -lease.validUntil.elapsedNow() >= MIN_TIME_FOR_ORDER
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseStore.kt
@@ -47,6 +47,10 @@
      * restored store issues revision numbers again.
      */
     val token: Long get() = (revision.era shl REVISION_NUMBER_BITS) + revision.number
+
+    /** Returns true if [other] is the same lease, perhaps renewed or with another token. */
+    fun isSameAs(other: PromotionLease) =
+        leaseId == other.leaseId && revision.era == other.revision.era
 }
 
 /** Outcome of a request for the lease. */
