A change with an unanswered order is followed by a higher token

Callers would see: after two changes of primary under one lease, a late copy of the first order takes the lead back and rolls back commits.

Cause: an order without an answer is repeated with its token until it is accepted, and only a change that failed raised the token. The holder's next change, within the same lease, used the same one, so the platform had no reason to refuse a copy of the first order that it carried out afterwards.

The token is raised whenever a copy got no answer.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
@@ -35,6 +35,9 @@
     /**
      * Has [successor] promoted under [lease]. Returns true once it is the primary. After false the
      * promotion may still be carried out.
+     *
+     * The next order has a higher token if this one failed, or if a copy of it got no answer: carried
+     * out after another server was promoted, it would take the lead back.
      */
     suspend fun promote(
         group: ServerGroup,
@@ -42,8 +45,9 @@
         lease: PromotionLease
     ): Boolean {
         val isPromoted = order(group, successor.name, lease)
+        val hadNoAnswer = group.service in unanswered
         if (isPromoted) unanswered.remove(group.service)
-        if (!isPromoted) leaseHolder.raiseToken(lease)
+        if (!isPromoted || hadNoAnswer) leaseHolder.raiseToken(lease)
         return isPromoted
     }
 
