PAUSE and STEPDOWN use terms from the servers' status

Callers would see, with syncReplicas 1: acknowledged commits rolled back by a change of primary.

Cause: both terms were derived from the log end of the newest evidence. A primary that has written nothing since its promotion shows the former term there, so it was not stepped down and went on while its successor was ordered. An instance that had seen no primary paused below term 100, which has no effect in a group that has had more changes; the answer was not looked at.

The terms are one above the newest that the servers report, a PAUSE is followed by STATUS in the same batch, and a replica that is not paused then counts as not answering. No margin is added to the term: a PAUSE that arrives after the change is complete is not above the newest term and has no effect. Which server is replaced is found out from the reports too: one that says it is the primary, or the last known one if it does not answer; if that one answers as a replica, its log counts.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerReports.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerReports.kt
@@ -12,32 +12,39 @@
 
 /** Returns the server's status, or null if it did not answer within [timeout]. */
 internal suspend fun GroupServer.report(timeout: Duration): ServerReport? =
-    reportAfter(LinkCommand.Status, timeout)
+    reportAfter(listOf(LinkCommand.Status), timeout)
 
-/** Makes the replica reject log entries of terms below [term]. Returns its status, or null. */
+/**
+ * Makes the replica reject log entries of terms below [term]. Returns its status afterwards, or
+ * null. A server that knows [term] or a later one is not paused.
+ */
 internal suspend fun GroupServer.pause(term: Long, timeout: Duration): ServerReport? =
-    reportAfter(LinkCommand.Pause(term), timeout)
+    reportAfter(listOf(LinkCommand.Pause(term), LinkCommand.Status), timeout)
 
 /** Resumes replication on a paused replica. Returns its status, or null. */
 internal suspend fun GroupServer.resume(timeout: Duration): ServerReport? =
-    reportAfter(LinkCommand.Resume, timeout)
+    reportAfter(listOf(LinkCommand.Resume), timeout)
 
 /** Demotes the primary if its term is below [term]. Returns its status, or null. */
 internal suspend fun GroupServer.stepDown(term: Long, timeout: Duration): ServerReport? =
-    reportAfter(LinkCommand.StepDown(term), timeout)
+    reportAfter(listOf(LinkCommand.StepDown(term)), timeout)
 
 /** Updates [GroupServer.position] by a rollback without effect, whose answer carries it. */
 internal suspend fun GroupServer.refreshPosition() {
-    answerTo(LinkCommand.Rollback, POSITION_TIMEOUT)
+    answerTo(listOf(LinkCommand.Rollback), POSITION_TIMEOUT)
 }
 
-private suspend fun GroupServer.reportAfter(command: LinkCommand, timeout: Duration) =
-    answerTo(command, timeout)?.report
+private suspend fun GroupServer.reportAfter(commands: List<LinkCommand>, timeout: Duration) =
+    answerTo(commands, timeout)?.report
 
-private suspend fun GroupServer.answerTo(command: LinkCommand, timeout: Duration): LinkReply? {
+/** Returns the reply to the last of [commands], or null if the server does not answer in time. */
+private suspend fun GroupServer.answerTo(
+    commands: List<LinkCommand>,
+    timeout: Duration
+): LinkReply? {
     val link = acquire(timeout, LinkUrgency.PROBE)?.getOrNull() ?: return null
     try {
-        val replies = withTimeoutOrNull(timeout) { exchange(link, listOf(command)) }
+        val replies = withTimeoutOrNull(timeout) { exchange(link, commands) }
         if (replies == null) link.close()
         return replies?.getOrNull()?.last()
     } finally {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -30,7 +30,7 @@
     /** Replaces a failed primary. Returns true once the successor is the primary. */
     suspend fun replace(group: ServerGroup): Boolean {
         val lease = leaseHolder.acquire() ?: return false
-        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease)
+        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease, null)
         val successor = chooseSuccessor(group, reportsOf(group.servers)) ?: return false
         return sender.promote(group, successor, lease)
     }
@@ -43,11 +43,16 @@
      * Once an order has been sent, the replicas stay paused until a promotion has taken effect. An
      * order without an answer may be carried out seconds later; nothing is lost by it while nothing
      * is acknowledged, and a later order with a higher token makes it void.
+     *
+     * @param replaced the primary to replace, or null if it is to be found out
      */
-    private suspend fun replaceWithoutLoss(group: ServerGroup, lease: PromotionLease): Boolean {
+    private suspend fun replaceWithoutLoss(
+        group: ServerGroup,
+        lease: PromotionLease,
+        replaced: GroupServer?
+    ): Boolean {
         val outstanding = sender.unansweredOrder(group.service)
-        val reports = pause.pauseAll(group, lease, isOrderOutstanding = outstanding != null)
-            ?: return false
+        val reports = pause.pauseAll(group, lease, replaced, outstanding != null) ?: return false
         val successor = longestLog(reports, outstanding)
         logSuccessor(group, successor, reports)
         if (successor == null || !sender.promote(group, successor, lease)) return false
@@ -66,38 +71,50 @@
         if (!pause.isAnyPaused(group)) return true
         val lease = leaseHolder.acquire() ?: return false
         // The holder before may have completed it.
-        return !pause.isAnyPaused(group) || replaceWithoutLoss(group, lease)
+        return !pause.isAnyPaused(group) || replaceWithoutLoss(group, lease, null)
     }
 
     /** Hands over from a working primary without losing a commit. */
     suspend fun handOver(group: ServerGroup): Boolean {
         val primary = group.leader ?: return false
         val lease = leaseHolder.acquire() ?: return false
-        val successor = caughtUpSuccessor(group, primary) ?: return false
-        val end = stepDown(group, primary)
+        val report = primary.report(REPORT_TIMEOUT) ?: return false
+        val successor = caughtUpSuccessor(group, primary, report.received) ?: return false
+        val end = stepDown(group, primary, report.term + 1)
         if (end != null) awaitReceived(group, successor, end)
         return sender.promote(group, successor, lease)
     }
 
     /**
-     * Returns a successor that has caught up with [primary], or null. A server that does not
-     * receive the primary's log would lack the newest writes after its promotion.
+     * Returns a successor that has received the log of [primary] up to [end], or null. A server
+     * that does not receive it would lack the newest writes after its promotion.
      */
-    private suspend fun caughtUpSuccessor(group: ServerGroup, primary: GroupServer): GroupServer? {
+    private suspend fun caughtUpSuccessor(
+        group: ServerGroup,
+        primary: GroupServer,
+        end: LogPoint
+    ): GroupServer? {
         val others = group.servers.filter { it !== primary }
         val successor = chooseSuccessor(group, reportsOf(others)) ?: return null
-        val end = primary.report(REPORT_TIMEOUT)?.received ?: return null
         return successor.takeIf { awaitReceived(group, it, end) }
     }
 
-    private suspend fun stepDown(group: ServerGroup, primary: GroupServer): LogPoint? {
-        val term = (group.newestEvidence?.end?.term ?: return null) + 1
+    /**
+     * Makes [primary] a replica with [term], which must be above its own. Returns the end of its
+     * log, or null if it does not answer.
+     */
+    private suspend fun stepDown(
+        group: ServerGroup,
+        primary: GroupServer,
+        term: Long
+    ): LogPoint? {
         val report = primary.stepDown(term, REPORT_TIMEOUT)
         log.record(
             "primary_stepped_down",
             "service" to group.service,
             "server" to primary.name,
             "term" to term,
+            "role" to report?.role,
             "received" to report?.received
         )
         group.recordNotLeading(primary)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
@@ -10,14 +10,12 @@
 import org.yuccawind.core.group.pause
 import org.yuccawind.core.group.report
 import org.yuccawind.core.group.resume
+import org.yuccawind.core.model.ServerRole
 import org.yuccawind.core.port.DecisionLog
 
 /** Timeout of a server's status report, which may wait for a statement slot. */
 internal val REPORT_TIMEOUT = 400.milliseconds
 
-/** Added to the newest known term when pausing replicas, to cover changes not seen here yet. */
-private const val PAUSE_TERM_MARGIN = 100L
-
 /**
  * Pauses the replicas of a group with synchronous replication.
  *
@@ -35,26 +33,43 @@
         reportsOf(group.servers) { it.report(REPORT_TIMEOUT) }.values.any { it.isPaused }
 
     /**
-     * Pauses all replicas of [group] under [lease] and returns their status. Returns null if one of
-     * them does not answer, as it may hold commits that the others lack. Those paused here are then
-     * resumed, unless [isOrderOutstanding] or some were paused before: then an order may be carried
-     * out at any time, which would roll back the commits acknowledged until then.
+     * Pauses all replicas of [group] under [lease] and returns their status. [replaced] is the
+     * server whose commits all have a copy on one of them. Returns null if a replica does not
+     * answer, as it may hold commits that the others lack. Those paused here are then resumed,
+     * unless [isOrderOutstanding] or some were paused before: then an order may be carried out at
+     * any time, which would roll back the commits acknowledged until then.
      */
     suspend fun pauseAll(
         group: ServerGroup,
         lease: PromotionLease,
+        replaced: GroupServer?,
         isOrderOutstanding: Boolean
     ): Map<GroupServer, ServerReport>? {
-        val replicas = group.servers.filter { it !== group.lastLeader }
-        val before = reportsOf(replicas) { it.report(REPORT_TIMEOUT) }
-        if (before.size < replicas.size) return refuse(group, replicas, before)
-        val term = (group.newestEvidence?.end?.term ?: 0) + PAUSE_TERM_MARGIN
+        val before = reportsOf(group.servers) { it.report(REPORT_TIMEOUT) }
+        val primary = replaced ?: primaryOf(group, before)
+        val replicas = group.servers.filter { it !== primary }
+        val answered = replicas.filter { it in before }
+        if (answered.size < replicas.size) return refuse(group, replicas, answered)
+        // Above every known term, or it has no effect. Not higher, so that a PAUSE that arrives
+        // after the next primary has been promoted has none either.
+        val term = before.values.maxOf { maxOf(it.term, it.received.term) } + 1
         val paused = reportsOf(replicas) { it.pause(term, REPORT_TIMEOUT) }
+            .filterValues { it.isPaused && it.role == ServerRole.REPLICA }
         if (paused.size == replicas.size) return paused
-        if (!isOrderOutstanding && before.values.none { it.isPaused }) resume(group, lease)
-        return refuse(group, replicas, paused)
+        val wasPaused = replicas.any { before.getValue(it).isPaused }
+        if (!isOrderOutstanding && !wasPaused) resume(group, lease)
+        return refuse(group, replicas, paused.keys)
     }
 
+    /**
+     * Returns the server that says it is the primary, or else the last known one if it does not
+     * answer. If that one answers as a replica, its log counts as well.
+     */
+    private fun primaryOf(group: ServerGroup, reports: Map<GroupServer, ServerReport>) =
+        reports.entries.filter { it.value.role == ServerRole.PRIMARY }
+            .maxByOrNull { it.value.term }?.key
+            ?: group.lastLeader.takeIf { it !in reports }
+
     /**
      * Resumes the paused servers of [group] if this instance still holds [lease]. Otherwise another
      * instance may have paused them for a change of its own.
@@ -76,14 +91,14 @@
     private fun refuse(
         group: ServerGroup,
         replicas: List<GroupServer>,
-        answered: Map<GroupServer, ServerReport>
+        answered: Collection<GroupServer>
     ): Map<GroupServer, ServerReport>? {
         log.record(
             "successor_refused",
             "service" to group.service,
-            "reason" to "a replica that may hold commits did not answer",
-            "answered" to answered.size,
-            "replicas" to replicas.size
+            "reason" to "a replica that may hold commits did not answer or was not paused",
+            "answered" to answered.joinToString(";") { it.name.value },
+            "replicas" to replicas.joinToString(";") { it.name.value }
         )
         return null
     }
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
@@ -180,7 +180,8 @@
         private fun answer(command: LinkCommand): LinkReply {
             val isBegin = command is LinkCommand.Begin
             val state = if (isBegin) SessionState.IN_TRANSACTION else SessionState.IDLE
-            val report = ServerReport(ServerRole.PRIMARY, received, pausedBelowTerm = 0)
+            val report =
+                ServerReport(ServerRole.PRIMARY, received.term, received, pausedBelowTerm = 0)
             return LinkReply(emptyList(), StatementResult.Done(null), state, applied, report)
         }
     }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/database/DatabaseModel.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/database/DatabaseModel.kt
@@ -42,14 +42,17 @@
         status()
     }
 
-    /** Makes this server the primary of [term] and appends its first entry; idempotent. */
-    fun promote(term: Long): BackendReply = lock.withLock {
+    /**
+     * Makes this server the primary of [term] and, with [appendsEntry], appends its first entry;
+     * idempotent.
+     */
+    fun promote(term: Long, appendsEntry: Boolean = true): BackendReply = lock.withLock {
         if (term < fence) return notPrimary("fenced at $fence, asked for $term")
         val isAlreadyPrimary = role == ServerRole.PRIMARY && fence == term
         if (!isAlreadyPrimary) {
             raiseFence(term)
             role = ServerRole.PRIMARY
-            append(LogEntry(term))
+            if (appendsEntry) append(LogEntry(term))
         }
         BackendReply.Status(status())
     }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.model.ServerRole
 import org.yuccawind.standins.database.DatabaseFaults
 import org.yuccawind.standins.database.DatabaseModel
 import org.yuccawind.standins.database.DatabaseSettings
@@ -63,7 +64,7 @@
     val end: LogPoint get() = model.status().end
 
     /** True while this server is the primary of its group. */
-    val isPrimary get() = model.status().isPrimary
+    val isPrimary get() = model.status().role == ServerRole.PRIMARY
 
     /** Replaces the injected faults by [next]. */
     fun inject(next: DatabaseFaults) {
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireGroup.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireGroup.kt
@@ -28,6 +28,10 @@
     @Volatile
     var isolated: Set<String> = emptySet()
 
+    /** False if a promoted server shows the former term at its log's end until its first write. */
+    @Volatile
+    var appendsEntryOnPromotion = true
+
     init {
         for (database in databases.values) {
             database.countCopies = { point ->
@@ -48,7 +52,7 @@
         databases.values.filter { it !== chosen && it.isPrimary }.forEach { it.model.fence(term) }
         databases.values.forEach { it.hasSteppedDown = false }
         chosen.resume()
-        chosen.model.promote(term)
+        chosen.model.promote(term, appendsEntryOnPromotion)
     }
 
     /** Returns the client statements executed on all databases. */
