A hand-over with synchronous replicas is ordered while they are paused

Callers would see: commits acknowledged during a hand-over are rolled back, when the primary does not answer STEPDOWN and keeps the lead.

Cause: handOver ordered the change whatever STEPDOWN brought, with no replica paused. Its order could also stay without an answer, and the next attempt could choose another server.

After STEPDOWN it goes the way of a replacement: all replicas are paused, the longest log is chosen, and they stay paused until a promotion has taken effect. With nothing to lose, syncReplicas 0 is as before.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -82,6 +82,8 @@
         val successor = caughtUpSuccessor(group, primary, report.received) ?: return false
         val end = stepDown(group, primary, report.term + 1)
         if (end != null) awaitReceived(group, successor, end)
+        // Without an answer the primary may still lead and acknowledge commits.
+        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease, primary)
         return sender.promote(group, successor, lease)
     }
 
