A change of primary needs no answer from servers that no acknowledged commit depends on

Cause: two things. The change asked every server but the primary to answer and then found one that did not, though the primary had just stepped down and its log was at hand. And the verdict trusted a primary that answers, even if it answers for seconds that it does not lead, unless all servers deny it. So the step down had no owner once the change was given up or its instance had failed.

With syncReplicas 1 a commit is acknowledged once two servers hold it. So one server may be missing: every commit is on one of the others, and none is acknowledged while they are paused. A primary that has left counts as missing, and while it is unknown none may be. A primary that denies its lead is suspected after 2.5 s, about twice what a change takes, and replaced if most homes agree.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -30,7 +30,7 @@
     /** Replaces a failed primary. Returns true once the successor is the primary. */
     suspend fun replace(group: ServerGroup): Boolean {
         val lease = leaseHolder.acquire() ?: return false
-        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease, null)
+        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease)
         val successor = chooseSuccessor(group, reportsOf(group.servers)) ?: return false
         return sender.promote(group, successor, lease)
     }
@@ -43,17 +43,11 @@
      * Once an order has been sent, the replicas stay paused until a promotion has taken effect. An
      * order without an answer may be carried out seconds later; nothing is lost by it while nothing
      * is acknowledged, and a later order with a higher token makes it void.
-     *
-     * @param replaced the primary to replace, or null if it is to be found out
      */
-    private suspend fun replaceWithoutLoss(
-        group: ServerGroup,
-        lease: PromotionLease,
-        replaced: GroupServer?
-    ): Boolean {
+    private suspend fun replaceWithoutLoss(group: ServerGroup, lease: PromotionLease): Boolean {
         val outstanding = sender.unansweredOrder(group.service)
-        val reports = pause.pauseAll(group, lease, replaced, outstanding != null) ?: return false
-        val successor = longestLog(reports, outstanding)
+        val reports = pause.pauseAll(group, lease, outstanding != null) ?: return false
+        val successor = longestLog(group, reports, outstanding)
         logSuccessor(group, successor, reports)
         if (successor == null || !sender.promote(group, successor, lease)) return false
         pause.resume(group, lease)
@@ -71,7 +65,7 @@
         if (!pause.isAnyPaused(group)) return true
         val lease = leaseHolder.acquire() ?: return false
         // The holder before may have completed it.
-        return !pause.isAnyPaused(group) || replaceWithoutLoss(group, lease, null)
+        return !pause.isAnyPaused(group) || replaceWithoutLoss(group, lease)
     }
 
     /** Hands over from a working primary without losing a commit. */
@@ -83,7 +77,7 @@
         val end = stepDown(group, primary, report.term + 1)
         if (end != null) awaitReceived(group, successor, end)
         // Without an answer the primary may still lead and acknowledge commits.
-        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease, primary)
+        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease)
         return sender.promote(group, successor, lease)
     }
 
@@ -163,10 +157,11 @@
     /**
      * Returns the server with the longest log, even if it is shutting down: another one may lack
      * acknowledged commits. Among equal logs the one whose promotion is [outstanding] comes first,
-     * so that no second server is promoted after it, then one that stays. The choice depends on
-     * nothing that differs between instances, as another one may repeat it.
+     * so that no second server is promoted after it, then one that stays, then one that has not just
+     * stepped down. Other instances make the same choice, as they may have to repeat the order.
      */
     private fun longestLog(
+        group: ServerGroup,
         reports: Map<GroupServer, ServerReport>,
         outstanding: BackendServerName?
     ): GroupServer? = reports.entries.maxWithOrNull(
@@ -174,6 +169,7 @@
             { it.value.received },
             { it.key.name == outstanding },
             { !it.key.member.isLeaving },
+            { it.key !== group.lastLeader },
             { it.key.name.value }
         )
     )?.key
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryFacts.kt
@@ -14,6 +14,7 @@
  * @property isRegistered true while the primary is registered, or may be
  * @property areRegistrationsCurrent true if the registrations are not stale
  * @property isAnswering true if no request to the last primary has failed since its newest answer
+ * @property isDenying true if the last primary recently denied that it is the primary
  * @property suspicionShare share of the homes that the primary does not answer, from 0 to 1
  * @property denials number of servers that recently denied being the primary
  * @property registered number of registered servers
@@ -28,6 +29,7 @@
     val isRegistered: Boolean,
     val areRegistrationsCurrent: Boolean,
     val isAnswering: Boolean,
+    val isDenying: Boolean,
     val suspicionShare: Double,
     val denials: Int,
     val registered: Int,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryVerdict.kt
@@ -5,6 +5,12 @@
 /** Time without a proof after which a primary is suspected: several lost probes. */
 private val SUSPICION_TIMEOUT = 900.milliseconds
 
+/**
+ * Time without a proof after which a primary that denies its leadership is suspected. A change of
+ * primary in progress is complete by then.
+ */
+private val STEP_DOWN_TIMEOUT = 2_500.milliseconds
+
 /** Time within which all servers of a new deployment register: four heartbeats. */
 private val REGISTRATION_PERIOD = 5_000.milliseconds
 
@@ -55,6 +61,9 @@
 
             !facts.isRegistered -> Replace("the primary is not registered")
 
+            // Its successor may have been left without an order.
+            facts.isDenying && facts.silence >= STEP_DOWN_TIMEOUT -> Doubted
+
             // Open transactions may hold all of its connections, which prevents probes.
             facts.isAnswering -> Trusted
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryWatch.kt
@@ -169,6 +169,7 @@
             isRegistered = primary != null && primary in group.servers,
             areRegistrationsCurrent = registry.isCurrent,
             isAnswering = group.isLastLeaderAnswering,
+            isDenying = primary?.hasDeniedLeadershipWithin(DENIAL_MAX_AGE) == true,
             suspicionShare = primary?.let { suspicionShare(it.name) } ?: 0.0,
             denials = group.servers.count { it.hasDeniedLeadershipWithin(DENIAL_MAX_AGE) },
             registered = group.servers.size,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
@@ -12,6 +12,7 @@
 import org.yuccawind.core.group.resume
 import org.yuccawind.core.model.ServerRole
 import org.yuccawind.core.port.DecisionLog
+import org.yuccawind.core.route.GroupSettings
 
 /** Timeout of a server's status report, which may wait for a statement slot. */
 internal val REPORT_TIMEOUT = 400.milliseconds
@@ -33,42 +34,54 @@
         reportsOf(group.servers) { it.report(REPORT_TIMEOUT) }.values.any { it.isPaused }
 
     /**
-     * Pauses all replicas of [group] under [lease] and returns their status. [replaced] is the
-     * server whose commits all have a copy on one of them. Returns null if a replica does not
-     * answer, as it may hold commits that the others lack. Those paused here are then resumed,
-     * unless [isOrderOutstanding] or some were paused before: then an order may be carried out at
-     * any time, which would roll back the commits acknowledged until then.
+     * Pauses all servers of [group] but the primary under [lease] and returns their status. Returns
+     * null if more of them than a commit has copies do not answer, as these may hold commits that
+     * the others lack. Those paused here are then resumed, unless [isOrderOutstanding] or some were
+     * paused before: then an order may be carried out at any time, which would roll back the commits
+     * acknowledged until then.
      */
     suspend fun pauseAll(
         group: ServerGroup,
         lease: PromotionLease,
-        replaced: GroupServer?,
         isOrderOutstanding: Boolean
     ): Map<GroupServer, ServerReport>? {
         val before = reportsOf(group.servers) { it.report(REPORT_TIMEOUT) }
-        val primary = replaced ?: primaryOf(group, before)
-        val replicas = group.servers.filter { it !== primary }
-        val answered = replicas.filter { it in before }
-        if (answered.size < replicas.size) return refuse(group, replicas, answered)
+        val primary = primaryOf(before)
+        val replicas = before.keys.filter { it !== primary }
+        if (missing(group, replicas) > tolerated(group, primary)) return refuse(group, replicas)
         // Above every known term, or it has no effect. Not higher, so that a PAUSE that arrives
         // after the next primary has been promoted has none either.
         val term = before.values.maxOf { maxOf(it.term, it.received.term) } + 1
         val paused = reportsOf(replicas) { it.pause(term, REPORT_TIMEOUT) }
             .filterValues { it.isPaused && it.role == ServerRole.REPLICA }
         if (paused.size == replicas.size) return paused
-        val wasPaused = replicas.any { before.getValue(it).isPaused }
+        val wasPaused = before.values.any { it.isPaused }
         if (!isOrderOutstanding && !wasPaused) resume(group, lease)
-        return refuse(group, replicas, paused.keys)
+        return refuse(group, paused.keys)
     }
 
-    /**
-     * Returns the server that says it is the primary, or else the last known one if it does not
-     * answer. If that one answers as a replica, its log counts as well.
-     */
-    private fun primaryOf(group: ServerGroup, reports: Map<GroupServer, ServerReport>) =
+    private fun primaryOf(reports: Map<GroupServer, ServerReport>): GroupServer? =
         reports.entries.filter { it.value.role == ServerRole.PRIMARY }
             .maxByOrNull { it.value.term }?.key
-            ?: group.lastLeader.takeIf { it !in reports }
+
+    /** Returns the number of servers that are not among [replicas], with a primary that has left. */
+    private fun missing(group: ServerGroup, replicas: Collection<GroupServer>): Int {
+        val leader = group.lastLeader
+        val hasLeft = leader != null && leader !in group.servers
+        return group.servers.size - replicas.size + if (hasLeft) 1 else 0
+    }
+
+    /**
+     * Returns the number of servers that may be missing. A commit is acknowledged once its primary
+     * and [GroupSettings.syncReplicas] replicas hold it, so one of the others has it. While the
+     * primary is unknown it may have left with the only other copy of a commit.
+     */
+    private fun tolerated(group: ServerGroup, primary: GroupServer?): Int =
+        if (primary == null && group.lastLeader == null) {
+            0
+        } else {
+            group.settings.syncReplicas.coerceAtLeast(1)
+        }
 
     /**
      * Resumes the paused servers of [group] if this instance still holds [lease]. Otherwise another
@@ -90,15 +103,14 @@
 
     private fun refuse(
         group: ServerGroup,
-        replicas: List<GroupServer>,
-        answered: Collection<GroupServer>
+        paused: Collection<GroupServer>
     ): Map<GroupServer, ServerReport>? {
         log.record(
             "successor_refused",
             "service" to group.service,
-            "reason" to "a replica that may hold commits did not answer or was not paused",
-            "answered" to answered.joinToString(";") { it.name.value },
-            "replicas" to replicas.joinToString(";") { it.name.value }
+            "reason" to "servers that may hold commits did not answer or were not paused",
+            "answered" to paused.joinToString(";") { it.name.value },
+            "servers" to group.servers.joinToString(";") { it.name.value }
         )
         return null
     }
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/primary/PrimaryVerdictTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/primary/PrimaryVerdictTest.kt
@@ -16,6 +16,7 @@
         isRegistered = true,
         areRegistrationsCurrent = true,
         isAnswering = true,
+        isDenying = false,
         suspicionShare = 0.0,
         denials = 2,
         registered = 3,
@@ -61,6 +62,14 @@
         PrimaryVerdict.of(silent.copy(isAnswering = true)) shouldBe PrimaryVerdict.Trusted
     }
 
+    /** Guards against a group without a primary after its holder failed between two steps. */
+    @Test
+    fun `a primary that has stepped down is suspected if no other leads`() {
+        val steppedDown = silent.copy(isAnswering = true, isDenying = true, silence = 3.seconds)
+        PrimaryVerdict.of(steppedDown) shouldBe PrimaryVerdict.Doubted
+        PrimaryVerdict.of(steppedDown.copy(silence = 1.seconds)) shouldBe PrimaryVerdict.Trusted
+    }
+
     @Test
     fun `a silent primary that is no longer registered is replaced`() {
         PrimaryVerdict.of(silent.copy(isRegistered = false))
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -86,7 +86,8 @@
     @Volatile
     internal var hasSteppedDown = false
 
-    internal fun stepDown(term: Long) {
+    /** Makes this server a replica if [term] is above every term that it knows. */
+    fun stepDown(term: Long) {
         if (term <= model.status().fence) return
         hasSteppedDown = isPrimary
         model.fence(term)
