A hand-over with synchronous replicas makes earlier orders void before the step down

Cause: a late copy of an order for the present primary changes nothing while it leads. Carried out around its step down, it made that server the primary again for 0.3 s, until the new order took effect; a commit acknowledged in between had reached the other replica only. Evidence: 85.873 'late order of fence for core-1-3 carried out: 200', 86.203 STEPDOWN, 86.473 'core-1-3 leads term 9', 86.807 'core-1-1 leads term 10', core-1-3 rolls back 3 commits.

The hand-over first orders the primary itself with its own token: earlier orders are refused from then on, and those being carried out have taken effect 1.5 s later. Only then does the primary step down, and only if that order was answered at once, so that no copy of it is under way.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -72,15 +72,24 @@
     suspend fun handOver(group: ServerGroup): Boolean {
         val primary = group.leader ?: return false
         val lease = leaseHolder.acquire() ?: return false
+        val hasSyncReplicas = group.settings.syncReplicas > 0
+        if (hasSyncReplicas && !fence(group, primary, lease)) return false
         val report = primary.report(REPORT_TIMEOUT) ?: return false
         val successor = caughtUpSuccessor(group, primary, report.received) ?: return false
         val end = stepDown(group, primary, report.term + 1)
         if (end != null) awaitReceived(group, successor, end)
         // Without an answer the primary may still lead and acknowledge commits.
-        if (group.settings.syncReplicas > 0) return replaceWithoutLoss(group, lease)
+        if (hasSyncReplicas) return replaceWithoutLoss(group, lease)
         return sender.promote(group, successor, lease)
     }
 
+    /**
+     * Makes earlier orders void and keeps [lease]. Without this an earlier order for [primary] would
+     * make it the primary again after it has stepped down.
+     */
+    private suspend fun fence(group: ServerGroup, primary: GroupServer, lease: PromotionLease) =
+        sender.fence(group, primary, lease) && leaseHolder.extend(lease)
+
     /**
      * Returns a successor that has received the log of [primary] up to [end], or null. A server
      * that does not receive it would lack the newest writes after its promotion.
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
@@ -51,6 +51,29 @@
         return isPromoted
     }
 
+    /**
+     * Makes earlier orders for [group] void by ordering the promotion of [primary], which leads
+     * already, under [lease], and waits until those being carried out have taken effect. Returns
+     * true if [primary] leads afterwards and no copy of this order is outstanding.
+     */
+    suspend fun fence(group: ServerGroup, primary: GroupServer, lease: PromotionLease): Boolean {
+        val outcome = orders.promote(group.service, primary.name, lease.token)
+        log.record(
+            "earlier_orders_fenced",
+            "service" to group.service,
+            "primary" to primary.name,
+            "token" to lease.token,
+            "outcome" to outcome
+        )
+        when (outcome) {
+            OrderOutcome.Accepted -> delay(TAKEOVER_TIMEOUT)
+            is OrderOutcome.Refused -> leaseHolder.discard(lease)
+            is OrderOutcome.NoAnswer -> leaseHolder.raiseToken(lease)
+            is OrderOutcome.Unavailable -> Unit
+        }
+        return outcome == OrderOutcome.Accepted && group.probeLeader() && group.leader === primary
+    }
+
     private suspend fun order(
         group: ServerGroup,
         name: BackendServerName,
