--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -108,11 +108,7 @@
      * Makes [primary] a replica with [term], which must be above its own. Returns the end of its
      * log, or null if it does not answer.
      */
-    private suspend fun stepDown(
-        group: ServerGroup,
-        primary: GroupServer,
-        term: Long
-    ): LogPoint? {
+    private suspend fun stepDown(group: ServerGroup, primary: GroupServer, term: Long): LogPoint? {
         val report = primary.stepDown(term, REPORT_TIMEOUT)
         log.record(
             "primary_stepped_down",
