--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
@@ -48,8 +48,9 @@
         val before = reportsOf(group.servers) { it.report(REPORT_TIMEOUT) }
         val primary = primaryOf(before)
         val replicas = before.keys.filter { it !== primary }
-        if (missing(group, replicas) > tolerated(group, primary)) return refuse(group, replicas)
-        // Above every known term, or it has no effect. Not higher, so that a PAUSE that arrives
+        val isComplete = missing(group, replicas) <= tolerated(group, primary)
+        if (replicas.isEmpty() || !isComplete) return refuse(group, replicas)
+        // Above every known term, or it has no effect. Not higher, so that a request that arrives
         // after the next primary has been promoted has none either.
         val term = before.values.maxOf { maxOf(it.term, it.received.term) } + 1
         val paused = reportsOf(replicas) { it.pause(term, REPORT_TIMEOUT) }
