--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PrimaryChange.kt
@@ -73,18 +73,22 @@
         val primary = group.leader ?: return false
         val lease = leaseHolder.acquire() ?: return false
         val hasSyncReplicas = group.settings.syncReplicas > 0
-        if (hasSyncReplicas && !fence(group, primary, lease)) return false
-        val report = primary.report(REPORT_TIMEOUT) ?: return false
-        val successor = caughtUpSuccessor(group, primary, report.received) ?: return false
+        val isFenced = !hasSyncReplicas || fence(group, primary, lease)
+        val report = if (isFenced) primary.report(REPORT_TIMEOUT) else null
+        val successor = report?.let { caughtUpSuccessor(group, primary, it.received) }
+            ?: return false
         val end = stepDown(group, primary, report.term + 1)
         if (end != null) awaitReceived(group, successor, end)
         // Without an answer the primary may still lead and acknowledge commits.
-        if (hasSyncReplicas) return replaceWithoutLoss(group, lease)
-        return sender.promote(group, successor, lease)
+        return if (hasSyncReplicas) {
+            replaceWithoutLoss(group, lease)
+        } else {
+            sender.promote(group, successor, lease)
+        }
     }
 
     /**
-     * Makes earlier orders void and keeps [lease]. Without this an earlier order for [primary] would
+     * Makes earlier orders void and keeps [lease]. Otherwise an earlier order for [primary] would
      * make it the primary again after it has stepped down.
      */
     private suspend fun fence(group: ServerGroup, primary: GroupServer, lease: PromotionLease) =
@@ -162,8 +166,8 @@
     /**
      * Returns the server with the longest log, even if it is shutting down: another one may lack
      * acknowledged commits. Among equal logs the one whose promotion is [outstanding] comes first,
-     * so that no second server is promoted after it, then one that stays, then one that has not just
-     * stepped down. Other instances make the same choice, as they may have to repeat the order.
+     * so that no second server is promoted after it, then one that stays, then one that has not
+     * just stepped down. Other instances make the same choice, as they may repeat the order.
      */
     private fun longestLog(
         group: ServerGroup,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionLeaseHolder.kt
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Returns true if this instance still holds [used] for long enough for one order, renewing it if
-     * needed.
+     * Returns true if this instance still holds [used] for long enough for one order, renewing it
+     * if needed.
      */
     suspend fun extend(used: PromotionLease): Boolean = mutex.withLock {
         val held = lease?.takeIf { it.isSameAs(used) && isUnexpired(it) }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/PromotionSender.kt
@@ -36,8 +36,8 @@
      * Has [successor] promoted under [lease]. Returns true once it is the primary. After false the
      * promotion may still be carried out.
      *
-     * The next order has a higher token if this one failed, or if a copy of it got no answer: carried
-     * out after another server was promoted, it would take the lead back.
+     * The next order has a higher token if this one failed, or if a copy of it got no answer:
+     * carried out after another server was promoted, it would take the lead back.
      */
     suspend fun promote(
         group: ServerGroup,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/primary/ReplicaPause.kt
@@ -37,8 +37,8 @@
      * Pauses all servers of [group] but the primary under [lease] and returns their status. Returns
      * null if more of them than a commit has copies do not answer, as these may hold commits that
      * the others lack. Those paused here are then resumed, unless [isOrderOutstanding] or some were
-     * paused before: then an order may be carried out at any time, which would roll back the commits
-     * acknowledged until then.
+     * paused before: then an order may be carried out at any time, which would roll back the
+     * commits acknowledged until then.
      */
     suspend fun pauseAll(
         group: ServerGroup,
@@ -65,7 +65,7 @@
         reports.entries.filter { it.value.role == ServerRole.PRIMARY }
             .maxByOrNull { it.value.term }?.key
 
-    /** Returns the number of servers that are not among [replicas], with a primary that has left. */
+    /** Returns the number of servers not among [replicas], including a primary that has left. */
     private fun missing(group: ServerGroup, replicas: Collection<GroupServer>): Int {
         val leader = group.lastLeader
         val hasLeft = leader != null && leader !in group.servers
