Callers by their keys, connections by workspace, and the types that the new parts share

Change: a session's key names its workspace; it is looked up with each operation, so that a key withdrawn or added by a configuration takes effect on open sessions. Connections are started for a workspace and serve no other. Types for the parts to come: Caller in LinkUrgency, OperationLimiter, ServerLoad. ServerGroup is parted by job (ProofFinder, ReaderChoice), without a change of behaviour.

Without workspaces in the configuration callers are anonymous and share connections as before.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -8,6 +8,8 @@
 import org.yuccawind.core.statement.StatementCode
 import org.yuccawind.core.statement.StatementRequest
 import org.yuccawind.core.statement.StatementResult
+import org.yuccawind.core.workspace.AccessKey
+import org.yuccawind.core.workspace.Caller
 
 /**
  * The session of one client. Session variables and prepared statement names are kept here and
@@ -18,8 +20,14 @@
  *
  * @property id session identifier in the logs
  * @property database database name that the client connected to
+ * @param key key that the client presented; null for none
  */
-class ClientSession(val id: String, val database: String, private val context: SessionContext) {
+class ClientSession(
+    val id: String,
+    val database: String,
+    private val context: SessionContext,
+    private val key: AccessKey? = null
+) {
     private val sessionState = ClientSessionState()
     private val reads = SingleRead(context, sessionState)
     private val writes = SingleWrite(context, sessionState)
@@ -31,6 +39,10 @@
     /** Current route of the database, or null when the configuration has none. */
     val route: Route? get() = context.config().routes[database]
 
+    /** The caller that the key currently identifies, or null when [route] requires another key. */
+    val caller: Caller?
+        get() = context.config().workspaces.callerOf(key, route?.allowsAnonymous ?: false)
+
     /** Executes one statement. */
     suspend fun execute(request: StatementRequest): StatementAnswer {
         val startedAt = context.time.markNow()
@@ -81,10 +93,12 @@
 
     private fun begin(statement: Statement.Begin): StatementAnswer {
         if (transaction != null) return malformed("a transaction is open already")
-        val current = route ?: return noDatabase()
-        transaction = ClientTransaction(context, sessionState, current, statement.isReadOnly)
-            .also { it.open() }
-        return done()
+        return startOperation { route, caller ->
+            transaction =
+                ClientTransaction(context, sessionState, route, caller, statement.isReadOnly)
+                    .also { it.open() }
+            done()
+        }
     }
 
     private suspend fun commit(request: StatementRequest, trace: StatementTrace): StatementAnswer {
@@ -130,11 +144,29 @@
 
     private suspend fun run(statement: BackendStatement, trace: StatementTrace): StatementAnswer {
         transaction?.let { return it.run(statement, trace) }
+        return startOperation { route, caller ->
+            when (statement.access) {
+                Access.READ -> reads.run(route, caller, statement, trace)
+                Access.WRITE -> writes.run(route, caller, statement, trace)
+            }
+        }
+    }
+
+    /**
+     * Runs [operation] if the database has a route, the key identifies a caller and the caller's
+     * workspace is within its rate limit. The three are checked with each operation, since the
+     * configuration may change while the session is open.
+     */
+    private inline fun startOperation(
+        operation: (Route, Caller) -> StatementAnswer
+    ): StatementAnswer {
         val current = route ?: return noDatabase()
-        return when (statement.access) {
-            Access.READ -> reads.run(current, statement, trace)
-            Access.WRITE -> writes.run(current, statement, trace)
+        val from = caller
+            ?: return refused(StatementCode.UNKNOWN_KEY, "the key belongs to no workspace")
+        if (from is Caller.Member && !context.limiter.tryStart(from.definition)) {
+            return refused(StatementCode.RATE_LIMITED, "rate limit of workspace ${from.workspace}")
         }
+        return operation(current, from)
     }
 
     private fun noStatement(name: String): StatementAnswer {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -13,6 +13,7 @@
 import org.yuccawind.core.statement.StatementAnswer
 import org.yuccawind.core.statement.StatementCode
 import org.yuccawind.core.statement.StatementResult
+import org.yuccawind.core.workspace.Caller
 
 /** Time limit for a server to confirm a rollback; the link is closed when it expires. */
 internal val ROLLBACK_TIMEOUT = 1.seconds
@@ -25,6 +26,7 @@
     private val context: SessionContext,
     private val sessionState: ClientSessionState,
     private val route: Route,
+    private val caller: Caller,
     private val isReadOnly: Boolean
 ) {
     private val group: ServerGroup? = context.groups(route.service)
@@ -157,6 +159,7 @@
             group ?: return null,
             sessionState,
             route,
+            caller,
             deadline,
             trace
         )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
@@ -6,6 +6,7 @@
 import org.yuccawind.core.model.ServiceName
 import org.yuccawind.core.port.DecisionLog
 import org.yuccawind.core.route.RoutingConfig
+import org.yuccawind.core.workspace.OperationLimiter
 
 /**
  * Dependencies of client sessions that the instance provides.
@@ -16,6 +17,7 @@
  * @property time clock for deadlines and elapsed times
  * @property log receives one line per routing decision
  * @property observer notified of each answer sent to a client
+ * @property limiter enforces the rate limits of workspaces
  */
 class SessionContext(
     val config: () -> RoutingConfig,
@@ -23,5 +25,6 @@
     val scope: CoroutineScope,
     val time: TimeSource.WithComparableMarks,
     val log: DecisionLog,
-    val observer: StatementObserver = StatementObserver.NONE
+    val observer: StatementObserver = StatementObserver.NONE,
+    val limiter: OperationLimiter = OperationLimiter.NONE
 )
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -18,6 +18,7 @@
 import org.yuccawind.core.statement.StatementAnswer
 import org.yuccawind.core.statement.StatementCode
 import org.yuccawind.core.statement.StatementResult
+import org.yuccawind.core.workspace.Caller
 
 /** Delay before retrying the servers once all eligible ones have refused the read. */
 private val RETRY_DELAY = 15.milliseconds
@@ -45,23 +46,25 @@
     /** Runs [statement], trying the eligible servers until the route's statement limit. */
     suspend fun run(
         route: Route,
+        caller: Caller,
         statement: BackendStatement,
         trace: StatementTrace
     ): StatementAnswer {
         val group = context.groups(route.service) ?: return busy("service ${route.service} is gone")
         val arrivedAt = context.time.markNow()
-        return Attempts(group, route, statement, trace, arrivedAt).run()
+        return Attempts(group, route, caller, statement, trace, arrivedAt).run()
     }
 
     private inner class Attempts(
         private val group: ServerGroup,
         private val route: Route,
+        caller: Caller,
         private val statement: BackendStatement,
         private val trace: StatementTrace,
         private val arrivedAt: ComparableTimeMark
     ) {
         private val deadline = arrivedAt + route.statementTimeout
-        private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority)
+        private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority, caller)
         private val refusedBy = HashSet<GroupServer>()
         private var refusal = "no evidence of what the read must see"
 
@@ -198,8 +201,10 @@
         StatementCode.NO_SUCH_DATABASE,
         StatementCode.OTHER,
         StatementCode.OUTCOME_UNKNOWN,
+        StatementCode.RATE_LIMITED,
         StatementCode.TIMEOUT,
-        StatementCode.TOO_LARGE
+        StatementCode.TOO_LARGE,
+        StatementCode.UNKNOWN_KEY
         -> false
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -14,6 +14,7 @@
 import org.yuccawind.core.statement.StatementAnswer
 import org.yuccawind.core.statement.StatementCode
 import org.yuccawind.core.statement.StatementResult
+import org.yuccawind.core.workspace.Caller
 
 /** Delay before retrying a write after `BUSY` or after no connection was available. */
 private val BUSY_RETRY_DELAY = 20.milliseconds
@@ -38,13 +39,15 @@
     /** Runs [statement] on the primary, retrying until the route's statement limit. */
     suspend fun run(
         route: Route,
+        caller: Caller,
         statement: BackendStatement,
         trace: StatementTrace
     ): StatementAnswer {
         val group = context.groups(route.service)
             ?: return refused(StatementCode.BUSY, "service ${route.service} is gone")
         val deadline = context.time.markNow() + route.statementTimeout
-        val urgency = LinkUrgency(context.time.markNow() + route.targetLatency, route.priority)
+        val urgency =
+            LinkUrgency(context.time.markNow() + route.targetLatency, route.priority, caller)
         return Attempts(group, statement, trace, deadline, urgency).run()
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
@@ -13,6 +13,7 @@
 import org.yuccawind.core.route.Route
 import org.yuccawind.core.statement.SessionState
 import org.yuccawind.core.statement.StatementCode
+import org.yuccawind.core.workspace.Caller
 
 /** Delay between attempts while no suitable server accepts the transaction. */
 private val BUSY_RETRY_DELAY = 20.milliseconds
@@ -26,11 +27,12 @@
     private val group: ServerGroup,
     private val sessionState: ClientSessionState,
     private val route: Route,
+    caller: Caller,
     private val deadline: ComparableTimeMark,
     private val trace: StatementTrace
 ) {
     private val arrivedAt = context.time.markNow()
-    private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority)
+    private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority, caller)
 
     /** Opens a read-write transaction on the primary. */
     suspend fun openOnPrimary(): LinkLease? {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -13,6 +13,7 @@
 import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.OpenError
 import org.yuccawind.core.link.PooledLink
+import org.yuccawind.core.load.ServerLoad
 import org.yuccawind.core.model.AvailabilityZone
 import org.yuccawind.core.model.LogPoint
 
@@ -73,6 +74,10 @@
     var isPaused = false
         private set
 
+    /** Load from all instances together, or null while it is not known. */
+    var load: ServerLoad? = null
+        internal set
+
     /** True if a read skipped this server since its log position was last requested. */
     internal var needsPositionRefresh = false
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -5,15 +5,11 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.evidence.Certificate
 import org.yuccawind.core.evidence.EvidenceStore
-import org.yuccawind.core.fleet.HomeAnswer
 import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.LinkPool
 import org.yuccawind.core.link.LinkUrgency
@@ -23,6 +19,7 @@
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.model.ServiceName
 import org.yuccawind.core.route.GroupSettings
+import org.yuccawind.core.workspace.WorkspaceName
 
 /**
  * Age of the newest evidence at which a probe is sent: a third of the strictest staleness bound in
@@ -33,9 +30,6 @@
 /** Interval between runs of [ServerGroup.maintain]. */
 private val MAINTENANCE_PERIOD = 100.milliseconds
 
-/** Delay before the next attempt to find a proof after a failed one. */
-private val SEARCH_RETRY_DELAY = 30.milliseconds
-
 /**
  * The backend servers of one service: the current primary, the evidence about their logs, and the
  * connections to them. Confined to the event loop of its context.
@@ -53,10 +47,11 @@
     private val byName = LinkedHashMap<BackendServerName, GroupServer>()
     private val evidence = LeadershipEvidence(service, context)
     private val probe = LeaderProbe(this, context)
+    private val proofs = ProofFinder(this, context, evidence, probe)
+    private val readerChoice = ReaderChoice(this, context, evidence)
     private val pauseCheck = PauseCheck(this, context)
     private var maintenance: Job? = null
     private var homeRoleSince: ComparableTimeMark? = null
-    private var homeQuery: Deferred<HomeAnswer>? = null
 
     /** Settings from the newest configuration. */
     var settings: GroupSettings = settings
@@ -147,122 +142,30 @@
      * Requests a proof if none is cached; returns null if there is none within [timeout] or the
      * group is silent.
      */
-    suspend fun pointSince(since: ComparableTimeMark, timeout: Duration): LogPoint? {
-        evidence.certificateSince(since)?.end?.let { return it }
-        if (isSilent) return null
-        return withTimeoutOrNull(timeout) {
-            var point: LogPoint? = null
-            while (point == null) {
-                if (!findProof(since)) delay(SEARCH_RETRY_DELAY)
-                point = evidence.certificateSince(since)?.end
-            }
-            point
-        }
-    }
+    suspend fun pointSince(since: ComparableTimeMark, timeout: Duration): LogPoint? =
+        proofs.pointSince(since, timeout)
 
     /**
      * Returns a proof from [since] or later for another instance, probing the servers if needed but
      * without asking other instances; null if there is none within [timeout].
      */
-    suspend fun localProofSince(since: ComparableTimeMark, timeout: Duration): LeadershipProof? {
-        evidence.proofSince(since)?.let { return it }
-        return withTimeoutOrNull(timeout) {
-            var proof: LeadershipProof? = null
-            while (proof == null) {
-                if (!probe.run()) delay(SEARCH_RETRY_DELAY)
-                proof = evidence.proofSince(since)
-            }
-            proof
-        }
-    }
-
-    /**
-     * Tries once to get a proof from [since] or later and returns true on success. An instance that
-     * is not a home asks the homes first.
-     */
-    private suspend fun findProof(since: ComparableTimeMark): Boolean {
-        val startedAt = context.time.markNow()
-        val answer = if (isHome) HomeAnswer.NoHome else requestFromHomes(since)
-        val isFound = when (answer) {
-            is HomeAnswer.Proved -> accept(answer)
-            HomeAnswer.NoHome -> probe.run()
-            HomeAnswer.NotProved -> probe.runOnExpected()
-        }
-        if (!isFound) evidence.recordMissingProof(startedAt)
-        return isFound
-    }
-
-    /** Accepts [proof] unless its server is not registered here yet. */
-    private fun accept(proof: HomeAnswer.Proved): Boolean {
-        val server = byName[proof.server] ?: return false
-        return evidence.accept(server, proof)
-    }
-
-    /** Asks the homes for a proof, or joins a request in progress. */
-    private suspend fun requestFromHomes(since: ComparableTimeMark): HomeAnswer {
-        val running = homeQuery?.takeIf { it.isActive } ?: context.scope.async {
-            context.homes.find(service, settings.maxConnections, since)
-        }.also { homeQuery = it }
-        return running.await()
-    }
+    suspend fun localProofSince(since: ComparableTimeMark, timeout: Duration): LeadershipProof? =
+        proofs.localProofSince(since, timeout)
 
     /**
      * Returns the primary, searching for it if it is not known. Returns null if the group is silent
      * or none is found within [timeout].
      */
-    suspend fun awaitLeader(timeout: Duration): GroupServer? {
-        leaderWithoutProbe()?.let { return it }
-        if (isSilent) return null
-        return withTimeoutOrNull(timeout) {
-            val since = context.time.markNow()
-            while (!findProof(since - LeadershipEvidence.MAX_PROOF_AGE)) delay(SEARCH_RETRY_DELAY)
-            leader
-        }
-    }
-
-    /** Returns the primary if the evidence held is sufficient, or null. */
-    private fun leaderWithoutProbe(): GroupServer? =
-        leader?.takeIf { it.failingSince == null && (isHome || evidence.isProofRecent) }
+    suspend fun awaitLeader(timeout: Duration): GroupServer? = proofs.awaitLeader(timeout)
 
     /** Probes the servers; returns true if one proved to be the primary. */
     suspend fun probeLeader(): Boolean = probe.run()
 
-    /**
-     * Returns the servers for a read that requires [point], by expected answer time, servers with
-     * failures last. Omits servers that are expected to lag behind the point and servers that are
-     * shutting down, unless no other is left.
-     *
-     * Otherwise the reads of a service whose replicas lag by seconds would try every replica
-     * without success, although only the primary can serve them.
-     */
-    fun readers(point: LogPoint): List<GroupServer> {
-        val remaining = servers.filter { !it.member.isLeaving }.ifEmpty { servers }
-        val (behind, ready) = remaining.partition { isBehind(it, point) }
-        behind.forEach { it.needsPositionRefresh = true }
-        val hasResponsive = ready.any { it.failingSince == null }
-        return (if (hasResponsive) ready else remaining).sortedWith(
-            compareBy({ it.failingSince != null }, { it.expectedTime() })
-        )
-    }
-
-    private fun isBehind(server: GroupServer, point: LogPoint): Boolean {
-        if (server === leader) return false
-        val known = server.position
-        if (known != null && known.position >= point.position) return false
-        return evidence.evidenceStore.expectedCatchUp(server.name, point)
-            ?.let { it > Duration.ZERO } == true
-    }
+    /** Returns the servers for a read that requires [point], the preferred one first. */
+    fun readers(point: LogPoint): List<GroupServer> = readerChoice.readers(point)
 
-    /**
-     * Requests the log positions of servers that reads have skipped, which takes no statement slot.
-     */
-    private fun refreshSkippedPositions() {
-        for (server in servers.filter { it.needsPositionRefresh }) {
-            server.needsPositionRefresh = false
-            // Elsewhere it would need a new connection, so the estimated lag is used there.
-            if (isHome && server.inFlight == 0) context.scope.launch { server.refreshPosition() }
-        }
-    }
+    /** Returns the registered server named [name], or null. */
+    internal fun serverNamed(name: BackendServerName): GroupServer? = byName[name]
 
     /** Calls [maintain] periodically until cancelled. */
     suspend fun run() {
@@ -281,10 +184,16 @@
         homeRoleSince = if (isHome) homeRoleSince ?: context.time.markNow() else null
         if (maintenance?.isActive != true && isProbeDue()) {
             maintenance = context.scope.launch {
-                if (isHome) probe.run() else findProof(context.time.markNow() - PROBE_EVIDENCE_AGE)
+                if (isHome) {
+                    probe.run()
+                } else {
+                    proofs.find(
+                        context.time.markNow() - PROBE_EVIDENCE_AGE
+                    )
+                }
             }
         }
-        refreshSkippedPositions()
+        readerChoice.refreshSkippedPositions()
         pauseCheck.poll()
         servers.forEach { it.trim() }
     }
@@ -307,7 +216,7 @@
             idleLimit = { if (keepsIdleLinks()) IDLE_TIMEOUT else TRANSIENT_IDLE_TIMEOUT },
             answerTime = { byName[member.name]?.answerTime ?: Duration.ZERO },
             random = context.random,
-            open = { open(member.name) }
+            open = { open(member.name, it) }
         )
         byName[member.name] =
             GroupServer(member, pool, context.time, evidence.evidenceStore, context.fleet.zone)
@@ -324,10 +233,13 @@
     private fun keepsIdleLinks() =
         isHome || context.fleet.canKeepIdleConnections(settings.maxConnections)
 
-    private suspend fun open(name: BackendServerName): Either<OpenError, PooledLink> {
+    private suspend fun open(
+        name: BackendServerName,
+        workspace: WorkspaceName?
+    ): Either<OpenError, PooledLink> {
         val member = byName[name]?.member ?: return OpenError.Unreachable("$name is gone").left()
-        return context.connector.open(service, member)
-            .map { PooledLink(member, it, context.time) }
+        return context.connector.open(service, member, workspace)
+            .map { PooledLink(member, it, context.time, workspace) }
     }
 
     private fun remove(server: GroupServer) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.statement.SessionState
+import org.yuccawind.core.workspace.WorkspaceName
 
 /**
  * Backoff before the next attempt to open a connection after the server refused one because it was
@@ -30,7 +31,8 @@
  * group.
  *
  * Connections are opened only while callers wait. A new or released connection goes to the first
- * caller in the order of [LinkQueue].
+ * caller of its workspace in the order of [LinkQueue]. At the limit an idle connection of another
+ * workspace is closed for a caller that waits.
  *
  * @param limit maximum number of connections of this instance to the server
  * @param floor number of connections that stay open when idle
@@ -46,12 +48,13 @@
     private val idleLimit: () -> Duration,
     answerTime: () -> Duration,
     private val random: Random,
-    private val open: suspend () -> Either<OpenError, PooledLink>
+    private val open: suspend (WorkspaceName?) -> Either<OpenError, PooledLink>
 ) {
     private val idle = ArrayDeque<PooledLink>()
     private val waiters = LinkQueue(time, answerTime)
     private var held = 0
-    private var opening = 0
+    private val openingBy = HashMap<WorkspaceName?, Int>()
+    private val opening get() = openingBy.values.sum()
     private var backoffUntil: ComparableTimeMark? = null
     private var openBackoff = INITIAL_OPEN_BACKOFF
     private var isClosed = false
@@ -70,7 +73,7 @@
 
     /** Acquires a link, waiting at most [timeout]. Returns null on timeout. */
     suspend fun acquire(timeout: Duration, urgency: LinkUrgency): Either<OpenError, PooledLink>? {
-        takeIdle()?.let { return it.right() }
+        takeIdle(urgency.caller.workspace)?.let { return it.right() }
         val waiter = waiters.add(urgency)
         openForWaiters()
         var result: Either<OpenError, PooledLink>? = null
@@ -114,19 +117,24 @@
         while (idle.isNotEmpty()) idle.removeFirst().close()
     }
 
-    private fun takeIdle(): PooledLink? {
-        while (idle.isNotEmpty()) {
-            val link = idle.removeLast()
+    private fun takeIdle(workspace: WorkspaceName?): PooledLink? {
+        while (true) {
+            val link = idle.lastOrNull { it.workspace == workspace } ?: return null
+            idle.remove(link)
             if (link.isOpen) {
                 held++
                 return link
             }
         }
-        return null
     }
 
     private fun handOffOrKeep(link: PooledLink) {
-        if (waiters.handOff(link)) held++ else idle.addLast(link)
+        if (waiters.handOff(link)) {
+            held++
+        } else {
+            idle.addLast(link)
+            if (waiters.size > 0) openForWaiters()
+        }
     }
 
     private fun abandon(waiter: LinkWaiter) {
@@ -138,16 +146,26 @@
     private fun openForWaiters() {
         if (isClosed) return failWaiters(OpenError.Unreachable("server was removed from its group"))
         val isBackingOff = backoffUntil?.hasPassedNow() == false
-        while (!isBackingOff && opening < waiters.size && size < limit()) launchOpen()
+        while (!isBackingOff) {
+            val next = waiters.firstWithoutOpening(openingBy) ?: break
+            if (size >= limit() && !closeOldestIdle()) break
+            launchOpen(next.urgency.caller.workspace)
+        }
         if (size == 0) failWaiters(OpenError.TooMany("connection limit reached"))
     }
 
-    private fun launchOpen() {
-        opening++
+    private fun closeOldestIdle(): Boolean {
+        val oldest = idle.removeFirstOrNull() ?: return false
+        oldest.close()
+        return true
+    }
+
+    private fun launchOpen(workspace: WorkspaceName?) {
+        openingBy.merge(workspace, 1, Int::plus)
         scope.launch {
-            val result = open()
-            opening--
-            result.fold(::onOpenFailed, ::onOpened)
+            val result = open(workspace)
+            openingBy.merge(workspace, -1, Int::plus)
+            result.fold({ onOpenFailed(workspace, it) }, ::onOpened)
         }
     }
 
@@ -162,13 +180,13 @@
      * same time, and exponentially for as long as it stays full. Waiting callers keep waiting
      * while other links are in use, since one of these may be released.
      */
-    private fun onOpenFailed(error: OpenError) {
+    private fun onOpenFailed(workspace: WorkspaceName?, error: OpenError) {
         if (error is OpenError.TooMany) {
             backoffUntil = time.markNow() + openBackoff * random.nextDouble(MIN_JITTER, MAX_JITTER)
             openBackoff = minOf(openBackoff * 2, MAX_OPEN_BACKOFF)
         }
         val shouldFailWaiter = error !is OpenError.TooMany || size == 0
-        if (shouldFailWaiter) waiters.failNext(error)
+        if (shouldFailWaiter) waiters.failNextOf(workspace, error)
     }
 
     private fun failWaiters(error: OpenError) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
@@ -7,15 +7,22 @@
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
+import org.yuccawind.core.workspace.Caller
+import org.yuccawind.core.workspace.WorkspaceName
 
 /**
  * Scheduling parameters of a caller that waits for a link.
  *
  * @property goal time by which its client should have the answer; null for a caller that takes
  *   precedence over all clients
- * @property priority priority of the client; 0 is the highest
+ * @property priority priority of the route; 0 is the highest
+ * @property caller who sends the operation; only a link of its workspace may run it
  */
-data class LinkUrgency(val goal: ComparableTimeMark?, val priority: Int) {
+data class LinkUrgency(
+    val goal: ComparableTimeMark?,
+    val priority: Int,
+    val caller: Caller = Caller.Anonymous
+) {
     companion object {
         /** For probes: they take precedence because routing depends on their results. */
         val PROBE = LinkUrgency(goal = null, priority = 0)
@@ -47,26 +54,48 @@
     /** Removes a caller. Returns false if it is no longer queued. */
     fun remove(waiter: LinkWaiter) = waiters.remove(waiter)
 
-    /** Hands [link] to the first caller that accepts it. Returns false if none does. */
+    /**
+     * Hands [link] to the first caller of its workspace that accepts it. Returns false if none
+     * does.
+     */
     fun handOff(link: PooledLink): Boolean {
-        while (waiters.isNotEmpty()) {
-            if (removeNext().complete(link.right())) return true
+        while (true) {
+            val next = removeNext { it == link.workspace } ?: return false
+            if (next.complete(link.right())) return true
         }
-        return false
     }
 
     /** Completes the first caller, if any, with [error]. */
     fun failNext(error: OpenError) {
-        if (waiters.isNotEmpty()) removeNext().complete(error.left())
+        removeNext { true }?.complete(error.left())
+    }
+
+    /** Completes the first caller of [workspace], if any, with [error]. */
+    fun failNextOf(workspace: WorkspaceName?, error: OpenError) {
+        removeNext { it == workspace }?.complete(error.left())
+    }
+
+    /**
+     * Returns the first caller for which no connection is being opened, or null. [opening] holds
+     * the number of connections being opened by workspace.
+     */
+    fun firstWithoutOpening(opening: Map<WorkspaceName?, Int>): LinkWaiter? {
+        val left = HashMap(opening)
+        return waiters.firstOrNull {
+            val workspace = it.urgency.caller.workspace
+            val count = left[workspace] ?: 0
+            left[workspace] = count - 1
+            count <= 0
+        }
     }
 
-    private fun removeNext(): LinkWaiter {
+    private fun removeNext(accepts: (WorkspaceName?) -> Boolean): LinkWaiter? {
         val latestStart = time.markNow() + answerTime()
-        val next = waiters.minWith(
+        val next = waiters.filter { accepts(it.urgency.caller.workspace) }.minWithOrNull(
             compareBy({
                 schedulingClassOf(it.urgency, latestStart)
             }, { it.urgency.effectivePriority(latestStart) })
-        )
+        ) ?: return null
         waiters.remove(next)
         return next
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
@@ -7,6 +7,7 @@
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.statement.PreparedShape
 import org.yuccawind.core.statement.SessionState
+import org.yuccawind.core.workspace.WorkspaceName
 
 /** Maximum number of prepared statements on one link; a link that reaches it is reset. */
 private const val MAX_PREPARED = 64
@@ -16,11 +17,13 @@
  * prepared statements and log position.
  *
  * @property server the server that the link is connected to
+ * @property workspace the only workspace whose statements may run on the link; null for none
  */
 class PooledLink(
     val server: GroupMember,
     private val link: ServerLink,
-    private val time: TimeSource.WithComparableMarks
+    private val time: TimeSource.WithComparableMarks,
+    val workspace: WorkspaceName? = null
 ) {
     private var values: Map<String, String> = emptyMap()
     private val prepared = LinkedHashMap<PreparedShape, String>()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/ServerConnector.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/ServerConnector.kt
@@ -3,11 +3,19 @@
 import arrow.core.Either
 import org.yuccawind.core.group.GroupMember
 import org.yuccawind.core.model.ServiceName
+import org.yuccawind.core.workspace.WorkspaceName
 
 /** Opens connections to backend servers. */
 fun interface ServerConnector {
-    /** Opens a connection to [member] and verifies the identity of the server. */
-    suspend fun open(service: ServiceName, member: GroupMember): Either<OpenError, ServerLink>
+    /**
+     * Opens a connection to [member] for [workspace] and verifies the identity of the server. A
+     * connection without a workspace serves anonymous callers and the proxy itself.
+     */
+    suspend fun open(
+        service: ServiceName,
+        member: GroupMember,
+        workspace: WorkspaceName?
+    ): Either<OpenError, ServerLink>
 }
 
 /** Why no connection could be opened. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/route/Route.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/route/Route.kt
@@ -12,6 +12,7 @@
  * @property statementTimeout timeout of one statement
  * @property targetLatency time within which an operation should be answered
  * @property priority priority when waiting for a connection; 0 is the highest
+ * @property allowsAnonymous true if clients need no key
  */
 data class Route(
     val database: String,
@@ -19,7 +20,8 @@
     val freshness: Freshness,
     val statementTimeout: Duration,
     val targetLatency: Duration,
-    val priority: Int
+    val priority: Int,
+    val allowsAnonymous: Boolean = false
 )
 
 /** Writes that the reads of a route must see. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/route/RoutingConfig.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/route/RoutingConfig.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import org.yuccawind.core.model.ServiceName
+import org.yuccawind.core.workspace.Workspaces
 
 /**
  * The part of the operators' configuration that sessions use.
@@ -10,12 +11,14 @@
  * @property routes routes by database name
  * @property services settings of the server groups by service
  * @property limits limits that apply to all sessions
+ * @property workspaces workspaces and the keys of their clients
  */
 data class RoutingConfig(
     val version: Long,
     val routes: Map<String, Route>,
     val services: Map<ServiceName, GroupSettings>,
-    val limits: SessionLimits
+    val limits: SessionLimits,
+    val workspaces: Workspaces = Workspaces.NONE
 )
 
 /**
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/statement/StatementCode.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/statement/StatementCode.kt
@@ -25,6 +25,12 @@
     /** The server accepts no further connection. */
     TOO_MANY_CONNECTIONS(true),
 
+    /** The client's key is not known, so nothing of the attempt ran. */
+    UNKNOWN_KEY(true),
+
+    /** The workspace has reached its rate limit. */
+    RATE_LIMITED(true),
+
     /** The statement ran and failed. */
     FAILED(false),
 
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/group/ServerGroupTest.kt
@@ -135,7 +135,7 @@
         val context = GroupContext(
             backgroundScope,
             testTimeSource,
-            { _, _ -> Link().right() },
+            { _, _, _ -> Link().right() },
             DecisionLog.NONE,
             SuspensionDetector(testTimeSource) { currentTime + suspendedMs },
             fleet,
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
@@ -23,6 +23,7 @@
 import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.model.ServerRole
+import org.yuccawind.core.workspace.WorkspaceName
 
 class LinkPoolTest {
     @Test
@@ -89,8 +90,8 @@
         LinkUrgency(testTimeSource.markNow() + LATENCY_GOAL, priority)
 
     private fun TestScope.pool(
-        open: suspend () -> Either<OpenError, PooledLink> = {
-            PooledLink(MEMBER, OpenLink, testTimeSource).right()
+        open: suspend (WorkspaceName?) -> Either<OpenError, PooledLink> = {
+            PooledLink(MEMBER, OpenLink, testTimeSource, it).right()
         }
     ) = LinkPool(
         scope = backgroundScope,
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/StatementExecution.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/StatementExecution.kt
@@ -7,6 +7,7 @@
  *
  * @property server name of the server
  * @property connection number of the connection
+ * @property caller caller that the connection was started for
  * @property id identifier assigned by the client
  * @property text text of the statement, with the name of a prepared statement replaced by its text
  * @property values session variables of the connection at the time of execution
@@ -16,6 +17,7 @@
 data class StatementExecution(
     val server: String,
     val connection: Long,
+    val caller: String,
     val id: String,
     val text: String,
     val values: Map<String, String>,
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -13,6 +13,7 @@
     private val prepared = HashMap<String, String>()
     private var transaction: Transaction? = null
     private var isStarted = false
+    private var caller = ""
     private val isClosed = AtomicBoolean()
 
     /** Processes one request line and returns the reply lines. */
@@ -43,6 +44,7 @@
 
         else -> {
             isStarted = true
+            caller = fields.getOrElse(START_CALLER_INDEX) { "" }
             listOf(ready())
         }
     }
@@ -170,6 +172,7 @@
         database.executions += StatementExecution(
             server = database.name,
             connection = connection,
+            caller = caller,
             id = id,
             text = text,
             values = values.toMap(),
@@ -235,6 +238,7 @@
     private companion object {
         const val NO_ID = "-"
         const val QUERY_FIELDS = 3
+        const val START_CALLER_INDEX = 2
         const val START_ID_INDEX = 3
         const val AFTER_FIELDS = 3
         const val EXECUTE_DATA_INDEX = 3
