--- a/yuccawind-proxy/src/test/kotlin/org/yuccawind/proxy/peer/KtorPeerClientTest.kt
+++ b/yuccawind-proxy/src/test/kotlin/org/yuccawind/proxy/peer/KtorPeerClientTest.kt
@@ -31,24 +31,25 @@
     fun stop() = scope.cancel()
 
     @Test
-    fun `a timed-out call does not affect other calls on a working connection`() = runBlocking {
-        serve {
-            if (it is PeerMessage.NoProof) awaitCancellation()
-            if (it is PeerMessage.ListUnchanged) delay(600.milliseconds)
-            PeerMessage.Done
+    fun `a timed-out call does not affect other calls on a working connection`() =
+        runBlocking<Unit> {
+            serve {
+                if (it is PeerMessage.NoProof) awaitCancellation()
+                if (it is PeerMessage.ListUnchanged) delay(600.milliseconds)
+                PeerMessage.Done
+            }
+            client.call(address, PeerMessage.Done).getOrNull() shouldBe PeerMessage.Done
+            val slow = scope.async { client.call(address, PeerMessage.ListUnchanged, 5.seconds) }
+            val timedOut =
+                scope.async { client.call(address, PeerMessage.NoProof, 300.milliseconds) }
+            delay(100.milliseconds)
+            client.call(address, PeerMessage.Done).getOrNull() shouldBe PeerMessage.Done
+            timedOut.await().isLeft() shouldBe true
+            slow.await().getOrNull() shouldBe PeerMessage.Done
         }
-        client.call(address, PeerMessage.Done).getOrNull() shouldBe PeerMessage.Done
-        val slow = scope.async { client.call(address, PeerMessage.ListUnchanged, 5.seconds) }
-        val timedOut =
-            scope.async { client.call(address, PeerMessage.NoProof, 300.milliseconds) }
-        delay(100.milliseconds)
-        client.call(address, PeerMessage.Done).getOrNull() shouldBe PeerMessage.Done
-        timedOut.await().isLeft() shouldBe true
-        slow.await().getOrNull() shouldBe PeerMessage.Done
-    }
 
     @Test
-    fun `pending calls fail as soon as their connection is closed`() = runBlocking {
+    fun `pending calls fail as soon as their connection is closed`() = runBlocking<Unit> {
         serve { awaitCancellation() }
         val pending = scope.async { client.call(address, PeerMessage.Done, 20.seconds) }
         delay(100.milliseconds)
@@ -60,11 +61,12 @@
     }
 
     @Test
-    fun `a failure while handling one message does not affect the connection`() = runBlocking {
-        serve { if (it is PeerMessage.NoProof) error("unexpected") else PeerMessage.Done }
-        client.call(address, PeerMessage.NoProof, 200.milliseconds).isLeft() shouldBe true
-        client.call(address, PeerMessage.Done, 5.seconds).getOrNull() shouldBe PeerMessage.Done
-    }
+    fun `a failure while handling one message does not affect the connection`() =
+        runBlocking<Unit> {
+            serve { if (it is PeerMessage.NoProof) error("unexpected") else PeerMessage.Done }
+            client.call(address, PeerMessage.NoProof, 200.milliseconds).isLeft() shouldBe true
+            client.call(address, PeerMessage.Done, 5.seconds).getOrNull() shouldBe PeerMessage.Done
+        }
 
     private suspend fun serve(answer: suspend (PeerMessage) -> PeerMessage) =
         PeerServer({ answer(it) }, DecisionLog.NONE).start(scope, Endpoint(port = port))
