Order of waiting callers by workspace and work done, with a bound on overtaking

Cause: the queue for links to a server filtered and sorted a list of all callers for each hand-over, knew no workspaces beyond "whose link is this", and let late callers and low priorities be overtaken without end. A workspace with many callers kept all links of a full pool.

Change: one queue a workspace; workspaces are ranked by whether the goal of their first caller can be met, route priority, workspace priority and the time for which they held links. One hand-over in 16 goes to the longest waiting, so an operation sees at most 16 hand-overs of its workspace for itself and for each one that arrived before it. At the connection limit a released link is closed for another workspace that ranks higher or is behind by four answers (LinkPool.isWantedElsewhere). What a workspace does not use goes to the others; one that was away gets no credit.

LinkPoolTest unchanged. Not built: learned work by kind of statement (the work that counts is the time a link was held).

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -57,6 +57,7 @@
     private val opening get() = openingBy.values.sum()
     private var backoffUntil: ComparableTimeMark? = null
     private var openBackoff = INITIAL_OPEN_BACKOFF
+    private val isBackingOff get() = backoffUntil?.hasPassedNow() == false
     private var isClosed = false
 
     /** Number of links that are open or being opened. */
@@ -68,6 +69,9 @@
     /** Number of callers waiting for a link. */
     val waiting get() = waiters.size
 
+    /** Number of callers waiting for a link whose priority is [priority] or higher. */
+    fun waitingUpTo(priority: Int) = waiters.sizeUpTo(priority)
+
     /** True when a caller can acquire a link without waiting. */
     val hasIdle get() = idle.isNotEmpty()
 
@@ -88,7 +92,9 @@
     /** Returns [link] to the pool, or closes it if a transaction is still open on it. */
     fun release(link: PooledLink) {
         held--
-        if (!link.isOpen || link.state != SessionState.IDLE || isClosed) {
+        waiters.recordWork(link.workspace, link.acquiredAt.elapsedNow())
+        val isUsable = link.isOpen && link.state == SessionState.IDLE && !isClosed
+        if (!isUsable || isWantedElsewhere(link)) {
             link.close()
             openForWaiters()
             return
@@ -96,6 +102,12 @@
         handOffOrKeep(link)
     }
 
+    /** True if another workspace's caller is to have the place that [link] takes. */
+    private fun isWantedElsewhere(link: PooledLink): Boolean {
+        val isLastPlace = idle.isEmpty() && size + 1 >= limit() && !isBackingOff
+        return isLastPlace && waiters.mustYield(link.workspace, openingBy)
+    }
+
     /** Closes links above the floor that have been idle for longer than the idle limit. */
     fun evictIdle() {
         while (size > floor()) {
@@ -123,12 +135,14 @@
             idle.remove(link)
             if (link.isOpen) {
                 held++
+                link.recordAcquired()
                 return link
             }
         }
     }
 
     private fun handOffOrKeep(link: PooledLink) {
+        link.recordAcquired()
         if (waiters.handOff(link)) {
             held++
         } else {
@@ -145,7 +159,6 @@
 
     private fun openForWaiters() {
         if (isClosed) return failWaiters(OpenError.Unreachable("server was removed from its group"))
-        val isBackingOff = backoffUntil?.hasPassedNow() == false
         while (!isBackingOff) {
             val next = waiters.firstWithoutOpening(openingBy) ?: break
             if (size >= limit() && !closeOldestIdle()) break
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import java.util.TreeMap
+import java.util.TreeSet
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.TimeSource
@@ -29,13 +31,31 @@
     }
 }
 
+/**
+ * One hand-over in this many goes to the caller that has waited longest, whatever its rank. So of
+ * the hand-overs to its workspace, a caller sees at most this many for itself and for each one that
+ * arrived before it.
+ */
+internal const val HAND_OVERS_PER_OLDEST = 16
+
+/**
+ * Lead in work, as a number of answers, from which a workspace gives a link away to one that waits.
+ * It covers the slot time that opening the other workspace's connection takes.
+ */
+private const val MAX_WORK_LEAD = 4
+
+/** Number of releases after which workspaces that are not ahead of the others are forgotten. */
+private const val FORGET_PERIOD = 1_024L
+
 /**
  * Queue of the callers that wait for a link to one server.
  *
  * The order matters when a server is overloaded, for example as the only one that is up to date
  * while all replicas lag: first come, first served would then answer every caller too late. So
- * callers whose latency goal can still be met come first, by priority and then by arrival. The
- * others share the remaining capacity in the order of arrival.
+ * callers whose latency goal can still be met come first, by priority of the route and of the
+ * workspace. Workspaces of the same priority share the server by the time for which they hold its
+ * links, so that one with many callers does not make the others late. What a workspace does not use
+ * goes to the others. Late callers share the remaining capacity in the order of arrival.
  *
  * @param answerTime expected time from the acquisition of a link to the server's answer
  */
@@ -43,16 +63,43 @@
     private val time: TimeSource.WithComparableMarks,
     private val answerTime: () -> Duration
 ) {
-    private val waiters = ArrayList<LinkWaiter>()
+    private val byWorkspace = HashMap<WorkspaceName?, WorkspaceQueue>()
+    private val ranked = TreeMap<QueueRank, WorkspaceQueue>()
+    private val byArrival = TreeSet<LinkWaiter>(compareBy { it.number })
+    private val sizes = TreeMap<Int, Int>()
+    private var added = 0L
+    private var handOvers = 0L
+    private var released = 0L
+    private var servedWork = Duration.ZERO
 
     /** Number of waiting callers. */
-    val size get() = waiters.size
+    val size get() = byArrival.size
+
+    /** Number of waiting callers whose priority is [priority] or higher. */
+    fun sizeUpTo(priority: Int) = sizes.headMap(priority, true).values.sum()
 
     /** Adds a waiting caller. */
-    fun add(urgency: LinkUrgency) = LinkWaiter(urgency).also { waiters += it }
+    fun add(urgency: LinkUrgency): LinkWaiter {
+        val waiter = LinkWaiter(urgency, ++added)
+        val queue = queueOf(urgency.caller.workspace)
+        // Otherwise a workspace could save up its share while it sends nothing.
+        if (queue.size == 0) queue.work = maxOf(queue.work, servedWork)
+        byArrival += waiter
+        sizes.merge(urgency.priority, 1, Int::plus)
+        queue.add(waiter)
+        rank(queue)
+        return waiter
+    }
 
     /** Removes a caller. Returns false if it is no longer queued. */
-    fun remove(waiter: LinkWaiter) = waiters.remove(waiter)
+    fun remove(waiter: LinkWaiter): Boolean {
+        if (!byArrival.remove(waiter)) return false
+        val queue = queueOf(waiter.urgency.caller.workspace)
+        queue.remove(waiter)
+        sizes.computeIfPresent(waiter.urgency.priority) { _, size -> (size - 1).takeIf { it > 0 } }
+        rank(queue)
+        return true
+    }
 
     /**
      * Hands [link] to the first caller of its workspace that accepts it. Returns false if none
@@ -60,19 +107,24 @@
      */
     fun handOff(link: PooledLink): Boolean {
         while (true) {
-            val next = removeNext { it == link.workspace } ?: return false
-            if (next.complete(link.right())) return true
+            val next = removeNextOf(link.workspace) ?: return false
+            if (next.complete(link.right())) {
+                handOvers++
+                queueOf(link.workspace).handOvers++
+                return true
+            }
         }
     }
 
     /** Completes the first caller, if any, with [error]. */
     fun failNext(error: OpenError) {
-        removeNext { true }?.complete(error.left())
+        val queue = firstQueue { true } ?: return
+        removeNextOf(queue.workspace)?.complete(error.left())
     }
 
     /** Completes the first caller of [workspace], if any, with [error]. */
     fun failNextOf(workspace: WorkspaceName?, error: OpenError) {
-        removeNext { it == workspace }?.complete(error.left())
+        removeNextOf(workspace)?.complete(error.left())
     }
 
     /**
@@ -80,42 +132,107 @@
      * the number of connections being opened by workspace.
      */
     fun firstWithoutOpening(opening: Map<WorkspaceName?, Int>): LinkWaiter? {
-        val left = HashMap(opening)
-        return waiters.firstOrNull {
-            val workspace = it.urgency.caller.workspace
-            val count = left[workspace] ?: 0
-            left[workspace] = count - 1
-            count <= 0
+        if (isTurnOfOldest()) {
+            val oldest = byArrival.firstOrNull() ?: return null
+            val workspace = oldest.urgency.caller.workspace
+            if (queueOf(workspace).size > (opening[workspace] ?: 0)) return oldest
         }
+        val queue = firstQueue { it.size > (opening[it.workspace] ?: 0) } ?: return null
+        return queue.first(latestStart())
+    }
+
+    /** Records that a caller of [workspace] held a link for [elapsed]. */
+    fun recordWork(workspace: WorkspaceName?, elapsed: Duration) {
+        val queue = queueOf(workspace)
+        if (queue.size == 0) queue.work = maxOf(queue.work, servedWork)
+        val firstWork = ranked.firstEntry()?.value?.work ?: queue.work
+        servedWork = maxOf(servedWork, minOf(queue.work, firstWork))
+        queue.work += elapsed
+        rank(queue)
+        if (++released % FORGET_PERIOD == 0L) forgetUnused()
     }
 
-    private fun removeNext(accepts: (WorkspaceName?) -> Boolean): LinkWaiter? {
-        val latestStart = time.markNow() + answerTime()
-        val next = waiters.filter { accepts(it.urgency.caller.workspace) }.minWithOrNull(
-            compareBy({
-                schedulingClassOf(it.urgency, latestStart)
-            }, { it.urgency.effectivePriority(latestStart) })
-        ) ?: return null
-        waiters.remove(next)
+    private fun forgetUnused() =
+        byWorkspace.values.removeIf { it.size == 0 && it.work <= servedWork }
+
+    /**
+     * Returns true if a link of [workspace] should be closed for a caller of another workspace that
+     * has no connection in [opening]: one of higher rank, or one whose workspace has had clearly
+     * less of the server. To be asked only when no further connection can be opened.
+     */
+    fun mustYield(workspace: WorkspaceName?, opening: Map<WorkspaceName?, Int>): Boolean {
+        val next = firstWithoutOpening(opening)?.urgency?.caller?.workspace
+        val other = byWorkspace[next]?.rank
+        if (other == null || next == workspace) return false
+        val own = byWorkspace[workspace]?.rank
+        val hasLead = own != null && !own.isAbove(other) &&
+            own.work - other.work > answerTime() * MAX_WORK_LEAD
+        return own == null || isTurnOfOldest() || other.isAbove(own) || hasLead
+    }
+
+    private fun queueOf(workspace: WorkspaceName?) =
+        byWorkspace.getOrPut(workspace) { WorkspaceQueue(workspace) }
+
+    private fun latestStart() = time.markNow() + answerTime()
+
+    private fun isTurnOfOldest(count: Long = handOvers) =
+        count % HAND_OVERS_PER_OLDEST == HAND_OVERS_PER_OLDEST - 1L
+
+    private fun removeNextOf(workspace: WorkspaceName?): LinkWaiter? {
+        val queue = byWorkspace[workspace] ?: return null
+        val isOldestNext = isTurnOfOldest(queue.handOvers)
+        val next = (if (isOldestNext) queue.oldest else queue.first(latestStart())) ?: return null
+        remove(next)
         return next
     }
 
-    private fun schedulingClassOf(urgency: LinkUrgency, latestStart: ComparableTimeMark) = when {
-        urgency.goal == null -> 0
-        urgency.goal >= latestStart -> 1
-        else -> 2
+    /** Returns the first queue by rank that [accepts], after correcting outdated ranks. */
+    private fun firstQueue(accepts: (WorkspaceQueue) -> Boolean): WorkspaceQueue? {
+        var entry = ranked.firstEntry()
+        while (entry != null) {
+            val queue = entry.value
+            if (rankOf(queue) != entry.key) {
+                rank(queue)
+                entry = ranked.firstEntry()
+                continue
+            }
+            if (accepts(queue)) return queue
+            entry = ranked.higherEntry(entry.key)
+        }
+        return null
+    }
+
+    private fun rank(queue: WorkspaceQueue) {
+        queue.rank?.let(ranked::remove)
+        queue.rank = rankOf(queue)?.also { ranked[it] = queue }
     }
 
-    private fun LinkUrgency.effectivePriority(latestStart: ComparableTimeMark) =
-        if (goal != null && goal < latestStart) 0 else priority
+    private fun rankOf(queue: WorkspaceQueue): QueueRank? {
+        val first = queue.first(latestStart()) ?: return null
+        val isLate = queue.isLate(first)
+        return QueueRank(
+            goalClass = if (first.urgency.goal == null) {
+                0
+            } else if (isLate) {
+                2
+            } else {
+                1
+            },
+            priority = if (isLate) 0 else first.urgency.priority,
+            callerPriority = if (isLate) 0 else first.urgency.caller.priority,
+            work = queue.work,
+            number = first.number
+        )
+    }
 }
 
 /**
  * A caller that waits for a link.
  *
  * @property urgency its scheduling parameters
+ * @property number order of arrival
  */
-internal class LinkWaiter(val urgency: LinkUrgency) {
+internal class LinkWaiter(val urgency: LinkUrgency, val number: Long) {
     /** Completes with a link, or with the error that prevented opening one. */
     val result = CompletableDeferred<Either<OpenError, PooledLink>>()
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
@@ -42,6 +42,10 @@
     var answeredAt: ComparableTimeMark = time.markNow()
         private set
 
+    /** Time at which the caller that uses the link acquired it, or of the opening. */
+    var acquiredAt: ComparableTimeMark = time.markNow()
+        private set
+
     /** False once the connection is closed. */
     val isOpen get() = link.isOpen
 
@@ -51,6 +55,11 @@
     /** True when no transaction is open on the link. */
     val isIdle get() = state == SessionState.IDLE
 
+    /** Records that a caller starts to use the link. */
+    internal fun recordAcquired() {
+        acquiredAt = time.markNow()
+    }
+
     /**
      * Returns the name under which [shape] is prepared on this link, and the commands that prepare
      * it: none when it is prepared already.
