Admission: wait only for what can come in time, refuse the rest at once

Cause: without proof of a primary, and with a long queue in front, a statement was held until its timeout and refused then; servers that refused were asked again every 15 or 20 ms without a limit. Once a primary was silent for 0.9 s, all were refused, also when its successor was due within their time.

Change: decisions without I/O in core/admission. PrimaryAdmission: an instance that has had no proof since its start waits a quarter of the goal (at least 100 ms), a lost primary's successor is waited for if it is due (3 s after the last proof) within the time left and another server answers; an instance that no server answers refuses at once. ServerAdmission: refused on arrival if those in front, by Little's law, take longer than the time left; at most 2,000 wait for a server. RepeatBudget: pauses of 15 to 240 ms with jitter, at most a fifth of the successes and 5 a second. Log event statements_refused (one a second), field refused_for, two metrics. Nothing that was sent is sent again in a new case.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -51,9 +51,18 @@
         val elapsed = startedAt.elapsedNow()
         StatementLog.record(context, this, request, answer, trace, elapsed)
         context.observer.answered(request.statement, answer.result, elapsed)
+        recordDecision(request.statement, trace)
         return answer
     }
 
+    private fun recordDecision(statement: Statement, trace: StatementTrace) {
+        val refusal = trace.refusal
+        if (refusal == null && trace.attempts == 0) return
+        val from = caller ?: Caller.Anonymous
+        context.observer.decided(statement, from, refusal, trace.linkWait)
+        if (refusal != null) route?.let { context.refusals.record(it.service, refusal) }
+    }
+
     /** Rolls back an open transaction after an idle timeout or a client disconnect. */
     fun abandon() {
         transaction?.abandon()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ReadRequirements.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ReadRequirements.kt
@@ -1,8 +1,9 @@
 package org.yuccawind.core.client
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
+import arrow.core.Either
 import kotlin.time.Duration.Companion.milliseconds
+import org.yuccawind.core.admission.Admission
+import org.yuccawind.core.admission.StatementDemand
 import org.yuccawind.core.group.ReadRequirement
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.route.Freshness
@@ -17,23 +18,23 @@
 /** Determines which log point a server's log must include before it may run a read. */
 internal object ReadRequirements {
     /**
-     * Returns the requirement of a read that arrived at [arrivedAt] under [route], or null when no
-     * proof of the primary's log end was available within [timeout].
+     * Returns the requirement of a read with [demand] under [route], or why it is refused for want
+     * of a proof of the primary's log end.
      */
     suspend fun find(
         group: ServerGroup,
         route: Route,
         sessionState: ClientSessionState,
-        arrivedAt: ComparableTimeMark,
-        timeout: Duration
-    ): ReadRequirement? {
+        demand: StatementDemand
+    ): Either<Admission.Refuse, ReadRequirement> {
+        val arrivedAt = demand.arrivedAt
         val now = arrivedAt + arrivedAt.elapsedNow()
         val since = when (val freshness = route.freshness) {
             Freshness.Latest -> arrivedAt
             is Freshness.Bounded -> now - (freshness.maxAge - STALENESS_MARGIN)
             is Freshness.OwnWrites -> now - (freshness.maxAge - STALENESS_MARGIN)
         }
-        val point = group.pointSince(since, timeout) ?: return null
-        return ReadRequirement.of(point, sessionState.lastWrite)
+        return group.pointSince(since, demand)
+            .map { ReadRequirement.of(it, sessionState.lastWrite) }
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
+import org.yuccawind.core.admission.RefusalLog
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.model.ServiceName
 import org.yuccawind.core.port.DecisionLog
@@ -27,4 +28,7 @@
     val log: DecisionLog,
     val observer: StatementObserver = StatementObserver.NONE,
     val limiter: OperationLimiter = OperationLimiter.NONE
-)
+) {
+    /** Tells the operator which statements are refused, and why. */
+    internal val refusals = RefusalLog(time, log)
+}
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -1,12 +1,15 @@
 package org.yuccawind.core.client
 
-import kotlin.time.ComparableTimeMark
+import arrow.core.raise.Raise
+import arrow.core.raise.either
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccawind.core.admission.Admission
+import org.yuccawind.core.admission.ServerAdmission
+import org.yuccawind.core.admission.StatementDemand
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ReadRequirement
 import org.yuccawind.core.group.ServerGroup
@@ -20,9 +23,6 @@
 import org.yuccawind.core.statement.StatementResult
 import org.yuccawind.core.workspace.Caller
 
-/** Delay before retrying the servers once all eligible ones have refused the read. */
-private val RETRY_DELAY = 15.milliseconds
-
 /** Interval between checks whether a server that has not answered yet is still responsive. */
 private val SILENCE_CHECK_PERIOD = 100.milliseconds
 
@@ -51,8 +51,10 @@
         trace: StatementTrace
     ): StatementAnswer {
         val group = context.groups(route.service) ?: return busy("service ${route.service} is gone")
-        val arrivedAt = context.time.markNow()
-        return Attempts(group, route, caller, statement, trace, arrivedAt).run()
+        val now = context.time.markNow()
+        val demand =
+            StatementDemand(now, now + route.statementTimeout, route.targetLatency, route.priority)
+        return Attempts(group, route, caller, statement, trace, demand).run()
     }
 
     private inner class Attempts(
@@ -61,37 +63,40 @@
         caller: Caller,
         private val statement: BackendStatement,
         private val trace: StatementTrace,
-        private val arrivedAt: ComparableTimeMark
+        private val demand: StatementDemand
     ) {
-        private val deadline = arrivedAt + route.statementTimeout
-        private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority, caller)
+        private val urgency = LinkUrgency(demand.goal, demand.priority, caller)
         private val refusedBy = HashSet<GroupServer>()
+        private val pause = RepeatPause(group.repeats, demand)
         private var refusal = "no evidence of what the read must see"
 
-        suspend fun run(): StatementAnswer {
-            while (remaining() > Duration.ZERO) {
-                val required = ReadRequirements.find(
-                    group,
-                    route,
-                    sessionState,
-                    arrivedAt,
-                    remaining()
-                ) ?: break
+        suspend fun run(): StatementAnswer = either { runUntilAnswered() }.fold(::refuse) { it }
+
+        private suspend fun Raise<Admission.Refuse>.runUntilAnswered(): StatementAnswer {
+            while (true) {
+                val required = ReadRequirements.find(group, route, sessionState, demand).bind()
                 val servers = group.readers(required.point)
                 val server = servers.firstOrNull { it !in refusedBy }
                 if (server == null) {
                     refusedBy.clear()
-                    delay(RETRY_DELAY)
+                    pause.await().bind()
                     continue
                 }
+                ServerAdmission.check(servers.map(::roomAt), demand).bind()
                 val timeout = if (servers.size == 1) remaining() else ACQUIRE_TIMEOUT
                 attemptUntilSilent(server, required, timeout)?.let { return it }
                 refusedBy += server
             }
-            return busy(refusal)
         }
 
-        private fun remaining() = -deadline.elapsedNow()
+        private fun roomAt(server: GroupServer) = server.roomFor(demand.priority)
+
+        private fun refuse(decision: Admission.Refuse): StatementAnswer {
+            trace.refusal = decision.reason
+            return busy(decision.describe(refusal))
+        }
+
+        private fun remaining() = demand.timeLeft
 
         /**
          * Runs the read on [server]; returns null when the server refuses or stops responding. In
@@ -180,6 +185,7 @@
                 refusal = "${server.name} refused with $code"
                 return null
             }
+            if (reply.isDone) group.repeats.recordSuccess()
             return StatementAnswer(reply.rows, reply.result, SessionState.IDLE, reply.position)
         }
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -1,9 +1,13 @@
 package org.yuccawind.core.client
 
+import arrow.core.raise.Raise
+import arrow.core.raise.either
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.delay
+import org.yuccawind.core.admission.Admission
+import org.yuccawind.core.admission.ServerAdmission
+import org.yuccawind.core.admission.StatementDemand
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
@@ -16,9 +20,6 @@
 import org.yuccawind.core.statement.StatementResult
 import org.yuccawind.core.workspace.Caller
 
-/** Delay before retrying a write after `BUSY` or after no connection was available. */
-private val BUSY_RETRY_DELAY = 20.milliseconds
-
 /** A connection whose last reply is older than this is checked before a write is sent on it. */
 private val MAX_UNCHECKED_AGE = 300.milliseconds
 
@@ -45,46 +46,57 @@
     ): StatementAnswer {
         val group = context.groups(route.service)
             ?: return refused(StatementCode.BUSY, "service ${route.service} is gone")
-        val deadline = context.time.markNow() + route.statementTimeout
-        val urgency =
-            LinkUrgency(context.time.markNow() + route.targetLatency, route.priority, caller)
-        return Attempts(group, statement, trace, deadline, urgency).run()
+        val now = context.time.markNow()
+        val demand =
+            StatementDemand(now, now + route.statementTimeout, route.targetLatency, route.priority)
+        val urgency = LinkUrgency(demand.goal, route.priority, caller)
+        return Attempts(group, statement, trace, demand, urgency).run()
     }
 
     private inner class Attempts(
         private val group: ServerGroup,
         private val statement: BackendStatement,
         private val trace: StatementTrace,
-        private val deadline: ComparableTimeMark,
+        private val demand: StatementDemand,
         private val urgency: LinkUrgency
     ) {
         private var refusal = StatementCode.BUSY to "no primary is known"
+        private val pause = RepeatPause(group.repeats, demand)
+
+        suspend fun run(): StatementAnswer = either { runUntilAnswered() }.fold(::refuse) { it }
+
+        private suspend fun Raise<Admission.Refuse>.runUntilAnswered(): StatementAnswer {
+            while (true) {
+                val server = group.awaitLeader(demand).bind()
+                ServerAdmission.check(listOf(server.roomFor(demand.priority)), demand).bind()
+                attempt(server)?.let { return it }
+                if (refusal.first == StatementCode.BUSY) pause.await().bind()
+            }
+        }
 
-        suspend fun run(): StatementAnswer {
-            while (remaining() > Duration.ZERO) {
-                val server = group.awaitLeader(remaining()) ?: break
-                trace.server = server.name
-                trace.attempts++
-                val startedAt = context.time.markNow()
-                val link = server.acquire(remaining(), urgency)?.getOrNull()
-                trace.linkWait += startedAt.elapsedNow()
-                if (link == null) {
-                    refusal = StatementCode.BUSY to "no connection to ${server.name}"
-                    delay(BUSY_RETRY_DELAY)
-                    continue
-                }
-                val answer = try {
-                    send(server, link)
-                } finally {
-                    server.release(link)
-                }
-                if (answer != null) return answer
-                if (refusal.first == StatementCode.BUSY) delay(BUSY_RETRY_DELAY)
+        private suspend fun attempt(server: GroupServer): StatementAnswer? {
+            trace.server = server.name
+            trace.attempts++
+            val startedAt = context.time.markNow()
+            val link = server.acquire(remaining(), urgency)?.getOrNull()
+            trace.linkWait += startedAt.elapsedNow()
+            if (link == null) {
+                refusal = StatementCode.BUSY to "no connection to ${server.name}"
+                return null
+            }
+            try {
+                return send(server, link)
+            } finally {
+                server.release(link)
             }
-            return refused(refusal.first, refusal.second)
         }
 
-        private fun remaining() = -deadline.elapsedNow()
+        private fun refuse(decision: Admission.Refuse): StatementAnswer {
+            trace.refusal = decision.reason
+            return refused(refusal.first, decision.describe(refusal.second))
+        }
+
+        private fun remaining() = demand.timeLeft
 
         private suspend fun send(server: GroupServer, link: PooledLink): StatementAnswer? {
             if (!isResponsive(server, link)) return null
@@ -122,6 +134,7 @@
             if (reply.isDone && position != null) {
                 group.certify(server, position, sentAt)
                 sessionState.recordWrite(position)
+                group.repeats.recordSuccess()
             }
             if (code == StatementCode.READ_ONLY) group.recordNotLeading(server)
             if (code == null || !isRefusalBeforeRun(code)) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementLog.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementLog.kt
@@ -29,6 +29,7 @@
             "server" to trace.server,
             "need" to trace.requiredPoint,
             "attempts" to trace.attempts,
+            "refused_for" to trace.refusal,
             "link_wait_ms" to trace.linkWait.inWholeMilliseconds,
             "outcome" to outcomeOf(result),
             "position" to answer.position,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementTrace.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/StatementTrace.kt
@@ -1,6 +1,7 @@
 package org.yuccawind.core.client
 
 import kotlin.time.Duration
+import org.yuccawind.core.admission.RefusalReason
 import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.model.LogPoint
 
@@ -18,6 +19,10 @@
     var attempts = 0
         internal set
 
+    /** Reason for which the statement was refused before it was sent; null if it was not. */
+    var refusal: RefusalReason? = null
+        internal set
+
     /** Total time spent waiting for connections. */
     var linkWait: Duration = Duration.ZERO
         internal set
@@ -27,6 +32,7 @@
         server = other.server ?: server
         requiredPoint = other.requiredPoint ?: requiredPoint
         attempts += other.attempts
+        refusal = other.refusal ?: refusal
         linkWait += other.linkWait
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
@@ -1,9 +1,12 @@
 package org.yuccawind.core.client
 
+import arrow.core.raise.Raise
+import arrow.core.raise.either
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.delay
+import org.yuccawind.core.admission.Admission
+import org.yuccawind.core.admission.ServerAdmission
+import org.yuccawind.core.admission.StatementDemand
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
@@ -15,9 +18,6 @@
 import org.yuccawind.core.statement.StatementCode
 import org.yuccawind.core.workspace.Caller
 
-/** Delay between attempts while no suitable server accepts the transaction. */
-private val BUSY_RETRY_DELAY = 20.milliseconds
-
 /**
  * Opens a transaction on a suitable server, before any statement of the client is sent. Attempts
  * are repeated until the deadline; the functions return null when none succeeds in time.
@@ -28,53 +28,67 @@
     private val sessionState: ClientSessionState,
     private val route: Route,
     caller: Caller,
-    private val deadline: ComparableTimeMark,
+    deadline: ComparableTimeMark,
     private val trace: StatementTrace
 ) {
-    private val arrivedAt = context.time.markNow()
-    private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority, caller)
+    private val demand = StatementDemand(
+        arrivedAt = context.time.markNow(),
+        deadline = deadline,
+        targetLatency = route.targetLatency,
+        priority = route.priority
+    )
+    private val urgency = LinkUrgency(demand.goal, route.priority, caller)
+    private val pause = RepeatPause(group.repeats, demand)
 
     /** Opens a read-write transaction on the primary. */
-    suspend fun openOnPrimary(): LinkLease? {
-        while (remaining() > Duration.ZERO) {
-            val server = group.awaitLeader(remaining()) ?: return null
-            val lease = open(server) { listOf(LinkCommand.Begin(isReadOnly = false)) }
-            if (lease != null && isUpToDate(lease)) return lease
-            lease?.let { discard(it) }
-            delay(BUSY_RETRY_DELAY)
-        }
-        return null
-    }
+    suspend fun openOnPrimary(): LinkLease? = openOrRefuse { findPrimary() }
 
     /**
      * Opens a read-only transaction on a server whose log includes the log point that the route's
      * freshness requires.
      */
-    suspend fun openOnReader(): LinkLease? {
-        if (route.freshness == Freshness.Latest) return openOnPrimary()
-        while (remaining() > Duration.ZERO) {
-            val required = ReadRequirements.find(
-                group,
-                route,
-                sessionState,
-                arrivedAt,
-                remaining()
-            ) ?: return null
-            trace.requiredPoint = required.point
-            for (server in group.readers(required.point)) {
-                val lease = open(server) { listOf(LinkCommand.Begin(true, required.point)) }
-                    ?: continue
-                // A server that missed a change of primary may hold different entries at this
-                // position.
-                if (required.isCoveredBy(lease.link.term)) return lease
-                discard(lease)
-            }
-            delay(BUSY_RETRY_DELAY)
+    suspend fun openOnReader(): LinkLease? =
+        if (route.freshness == Freshness.Latest) openOnPrimary() else openOrRefuse { findReader() }
+
+    /** Calls [open] until it returns a lease or the transaction is refused. */
+    private suspend fun openOrRefuse(
+        open: suspend Raise<Admission.Refuse>.() -> LinkLease?
+    ): LinkLease? = either {
+        var lease = open()
+        while (lease == null) {
+            pause.await().bind()
+            lease = open()
         }
+        lease
+    }.onLeft { trace.refusal = it.reason }.getOrNull()
+
+    private suspend fun Raise<Admission.Refuse>.findPrimary(): LinkLease? {
+        val server = group.awaitLeader(demand).bind()
+        checkRoom(listOf(server))
+        val lease = open(server) { listOf(LinkCommand.Begin(isReadOnly = false)) }
+        if (lease == null || isUpToDate(lease)) return lease
+        discard(lease)
         return null
     }
 
-    private fun remaining() = -deadline.elapsedNow()
+    private suspend fun Raise<Admission.Refuse>.findReader(): LinkLease? {
+        val required = ReadRequirements.find(group, route, sessionState, demand).bind()
+        trace.requiredPoint = required.point
+        val servers = group.readers(required.point)
+        checkRoom(servers)
+        for (server in servers) {
+            val lease = open(server) { listOf(LinkCommand.Begin(true, required.point)) } ?: continue
+            // A server that missed a change of primary may hold different entries at this position.
+            if (required.isCoveredBy(lease.link.term)) return lease
+            discard(lease)
+        }
+        return null
+    }
+
+    private fun Raise<Admission.Refuse>.checkRoom(servers: List<GroupServer>) =
+        ServerAdmission.check(servers.map { it.roomFor(demand.priority) }, demand).bind()
+
+    private fun remaining() = demand.timeLeft
 
     /**
      * Returns true when the primary has applied all entries that it received before its promotion.
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
+import org.yuccawind.core.admission.ServerRoom
 import org.yuccawind.core.evidence.EvidenceStore
 import org.yuccawind.core.link.LinkCommand
 import org.yuccawind.core.link.LinkLost
@@ -92,6 +93,19 @@
     /** Number of links in use and of callers waiting for one. */
     val demand get() = pool.waiting + pool.inUse
 
+    /** Room at the server for a statement with [priority], as far as this instance knows. */
+    fun roomFor(priority: Int): ServerRoom {
+        val known = load
+        val ahead = pool.waitingUpTo(priority).toDouble()
+        return ServerRoom(
+            slots = known?.limit ?: member.slots.toDouble(),
+            inProgress = maxOf(known?.inProgress ?: 0.0, inFlight.toDouble()),
+            ahead = maxOf(known?.waiting ?: 0.0, ahead),
+            waiting = pool.waiting,
+            answerTime = answerTime
+        )
+    }
+
     /** Returns the expected time until a statement sent now is answered. */
     fun expectedTime(): Duration {
         val age = answeredAt?.elapsedNow() ?: HALF_WEIGHT_AGE
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ProofFinder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ProofFinder.kt
@@ -1,5 +1,8 @@
 package org.yuccawind.core.group
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -7,12 +10,18 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.yuccawind.core.admission.Admission
+import org.yuccawind.core.admission.PrimaryAdmission
+import org.yuccawind.core.admission.StatementDemand
 import org.yuccawind.core.fleet.HomeAnswer
 import org.yuccawind.core.model.LogPoint
 
 /** Delay before the next attempt to find a proof after a failed one. */
 private val SEARCH_RETRY_DELAY = 30.milliseconds
 
+/** Interval at which a statement that waits for a proof is decided again. */
+private val DECISION_PERIOD = 200.milliseconds
+
 /**
  * Finds proofs of leadership for a group: cached ones, those of the homes, and those of the servers
  * themselves. Confined to the event loop of its context.
@@ -27,22 +36,48 @@
 
     /**
      * Returns the smallest log point known to hold every write acknowledged before [since].
-     * Requests a proof if none is cached; returns null if there is none within [timeout] or the
-     * group is silent.
+     * Requests a proof if none is cached, and waits for it as [PrimaryAdmission] allows.
      */
-    suspend fun pointSince(since: ComparableTimeMark, timeout: Duration): LogPoint? {
-        evidence.certificateSince(since)?.end?.let { return it }
-        if (group.isSilent) return null
-        return withTimeoutOrNull(timeout) {
-            var point: LogPoint? = null
-            while (point == null) {
-                if (!find(since)) delay(SEARCH_RETRY_DELAY)
-                point = evidence.certificateSince(since)?.end
+    suspend fun pointSince(
+        since: ComparableTimeMark,
+        demand: StatementDemand
+    ): Either<Admission.Refuse, LogPoint> = await(since, demand) {
+        evidence.certificateSince(since)?.end
+    }
+
+    /**
+     * Returns the result of [held] as soon as it is not null, searching for proofs from [since] or
+     * later for as long as [PrimaryAdmission] lets the statement wait. [held] is told whether the
+     * last search succeeded.
+     */
+    private suspend fun <T : Any> await(
+        since: ComparableTimeMark,
+        demand: StatementDemand,
+        held: (Boolean) -> T?
+    ): Either<Admission.Refuse, T> {
+        var isFound = false
+        while (true) {
+            held(isFound)?.let { return it.right() }
+            isFound = when (val decision = PrimaryAdmission.decide(group.belief, demand)) {
+                is Admission.Refuse -> return decision.left()
+                is Admission.Wait -> search(since, minOf(decision.limit, DECISION_PERIOD))
+                Admission.Take -> search(since, DECISION_PERIOD)
             }
-            point
         }
     }
 
+    /**
+     * Searches for a proof from [since] or later and returns true if it is found within [limit].
+     * The search goes on after that, so that a failure is recorded although the statement has been
+     * refused.
+     */
+    private suspend fun search(since: ComparableTimeMark, limit: Duration): Boolean =
+        withTimeoutOrNull(limit) {
+            val isFound = context.scope.async { find(since) }.await()
+            if (!isFound) delay(SEARCH_RETRY_DELAY)
+            isFound
+        } ?: false
+
     /**
      * Returns a proof from [since] or later for another instance, probing the servers if needed but
      * without asking other instances; null if there is none within [timeout].
@@ -90,17 +125,13 @@
     }
 
     /**
-     * Returns the primary, searching for it if it is not known. Returns null if the group is silent
-     * or none is found within [timeout].
+     * Returns the primary, searching for it as long as [PrimaryAdmission] allows if it is not
+     * known.
      */
-    suspend fun awaitLeader(timeout: Duration): GroupServer? {
-        leaderWithoutProbe()?.let { return it }
-        if (group.isSilent) return null
-        return withTimeoutOrNull(timeout) {
-            val since = context.time.markNow()
-            while (!find(since - LeadershipEvidence.MAX_PROOF_AGE)) delay(SEARCH_RETRY_DELAY)
-            group.leader
-        }
+    suspend fun awaitLeader(demand: StatementDemand): Either<Admission.Refuse, GroupServer> {
+        leaderWithoutProbe()?.let { return it.right() }
+        val since = context.time.markNow() - LeadershipEvidence.MAX_PROOF_AGE
+        return await(since, demand) { isFound -> if (isFound) group.leader else null }
     }
 
     /** Returns the primary if the evidence held is sufficient, or null. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -8,6 +8,11 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.yuccawind.core.admission.Admission
+import org.yuccawind.core.admission.PARTS_OF_GOAL
+import org.yuccawind.core.admission.PrimaryBelief
+import org.yuccawind.core.admission.RepeatBudget
+import org.yuccawind.core.admission.StatementDemand
 import org.yuccawind.core.evidence.Certificate
 import org.yuccawind.core.evidence.EvidenceStore
 import org.yuccawind.core.link.LinkCommand
@@ -89,6 +94,23 @@
     val isSilent: Boolean
         get() = silence >= SILENCE_TIMEOUT && !isLastLeaderAnswering
 
+    private val hasAnsweringSuccessor
+        get() = servers.any {
+            it !== lastLeader && it.failingSince == null && it.answeredAt != null
+        }
+
+    /** What this instance knows about the primary, for statements that have no proof of it. */
+    val belief: PrimaryBelief
+        get() = when {
+            lastLeader == null -> PrimaryBelief.NotSeenYet
+            !isSilent -> PrimaryBelief.Expected
+            hasAnsweringSuccessor -> PrimaryBelief.Lost(silence)
+            else -> PrimaryBelief.CutOff
+        }
+
+    /** Limits how often statements are sent again to servers that refuse them as busy. */
+    val repeats = RepeatBudget(context.time, context.random)
+
     /** True if this instance has recently searched for the primary, so [isSilent] is meaningful. */
     val isMonitored: Boolean
         get() = isHome || evidence.isProofMissing || evidence.age < EVIDENCE_RECENCY
@@ -139,11 +161,16 @@
 
     /**
      * Returns the smallest log point known to hold every write acknowledged before [since].
-     * Requests a proof if none is cached; returns null if there is none within [timeout] or the
-     * group is silent.
+     * Requests a proof if none is cached, and waits for it as long as is of use to [demand].
      */
+    suspend fun pointSince(
+        since: ComparableTimeMark,
+        demand: StatementDemand
+    ): Either<Admission.Refuse, LogPoint> = proofs.pointSince(since, demand)
+
+    /** As [pointSince] for a caller that waits [timeout]; null if there is no proof by then. */
     suspend fun pointSince(since: ComparableTimeMark, timeout: Duration): LogPoint? =
-        proofs.pointSince(since, timeout)
+        pointSince(since, demandFor(timeout)).getOrNull()
 
     /**
      * Returns a proof from [since] or later for another instance, probing the servers if needed but
@@ -153,10 +180,15 @@
         proofs.localProofSince(since, timeout)
 
     /**
-     * Returns the primary, searching for it if it is not known. Returns null if the group is silent
-     * or none is found within [timeout].
+     * Returns the primary, searching for it if it is not known for as long as is of use to
+     * [demand].
      */
-    suspend fun awaitLeader(timeout: Duration): GroupServer? = proofs.awaitLeader(timeout)
+    suspend fun awaitLeader(demand: StatementDemand): Either<Admission.Refuse, GroupServer> =
+        proofs.awaitLeader(demand)
+
+    /** As [awaitLeader] for a caller that waits [timeout]; null if none is found by then. */
+    suspend fun awaitLeader(timeout: Duration): GroupServer? =
+        awaitLeader(demandFor(timeout)).getOrNull()
 
     /** Probes the servers; returns true if one proved to be the primary. */
     suspend fun probeLeader(): Boolean = probe.run()
@@ -207,6 +239,11 @@
     /** Removes all servers and closes the connections to them. */
     fun close() = servers.toList().forEach(::remove)
 
+    /** A demand with the whole [timeout] to wait for a first proof. */
+    private fun demandFor(timeout: Duration) = context.time.markNow().let {
+        StatementDemand(it, it + timeout, timeout * PARTS_OF_GOAL, priority = 0)
+    }
+
     private fun add(member: GroupMember) {
         val pool = LinkPool(
             scope = context.scope,
