--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
@@ -53,6 +53,9 @@
     /** Number of live instances, including this one. */
     val size: Int get() = live.size
 
+    /** The other live instances. */
+    val others: List<InstanceEntry> get() = live.filter { it.name != self.name }
+
     private val isSettled get() = firstListAt?.let { it.elapsedNow() >= settlingTime } == true
 
     /** Applies [entries], newly read from the platform. */
