Connections shared out by workspace, arrivals and the size of the fleet

What callers saw: one pool of places for all workspaces at each instance: the workspace that came last pushed out the connections of others, a large one could hold all places, and probes waited behind both. Besides, 29 instances before servers of 46 connections passed the bound of 0.6 by two, so 13 of them kept no unused connection beyond 150 ms and opened one for nearly each statement.

Change: LinkBudget gives an instance its part of the unused connections by the number of live instances and homes, and the idle time at which the expected number at rest equals that part, in place of all or nothing. RestingLinks decides which connection gives way: of the workspace with the fewest callers for each at rest. The proxy's own connections have a place of their own, their own backoff, and are not closed for workspaces. A workspace without a connection here waits 200 ms for its turn at most, then the statement that runs and one statement and one opening for each workspace before it (WorkspaceTurns). At TOOMANY connections at rest are closed first and the part is halved for 5 s; waiting callers are tried again after the backoff, also if no other event comes. Fleets of up to 0.6 of maxConnections instances without workspaces keep one connection each and 1.5 s, as before.

LinkPoolTest: the pool is built with a LinkBudget in place of its three figures (limit 1, floor 1; the idle time is 1.5 s in place of 1 s and no test of it depends on that); its checks are unchanged.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
+import org.yuccawind.core.link.LinkBudget
 import org.yuccawind.core.model.AvailabilityZone
 import org.yuccawind.core.model.ServiceName
 import org.yuccawind.core.port.InstanceEntry
@@ -100,11 +101,15 @@
     }
 
     /**
-     * Returns true if every instance may keep an unused connection to a server that accepts
-     * [maxConnections] connections.
+     * Returns this instance's part of the connections to a server of [service] that accepts
+     * [maxConnections].
      */
-    fun canKeepIdleConnections(maxConnections: Int) =
-        isSettled && live.size <= HomeAssignment.maxIdleConnections(maxConnections)
+    internal fun linkBudget(service: ServiceName, maxConnections: Int) = LinkBudget(
+        maxConnections,
+        instances = live.size.takeIf { isSettled },
+        homes = homesOf(service, maxConnections).size,
+        isHome = isHome(service, maxConnections)
+    )
 
     private data class HomesKey(val service: ServiceName, val maxConnections: Int)
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/HomeAssignment.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/HomeAssignment.kt
@@ -1,14 +1,12 @@
 package org.yuccawind.core.fleet
 
+import org.yuccawind.core.link.IDLE_CONNECTION_SHARE
 import org.yuccawind.core.membership.Member
 import org.yuccawind.core.membership.Rendezvous
 import org.yuccawind.core.model.InstanceId
 import org.yuccawind.core.model.ServiceName
 import org.yuccawind.core.port.InstanceEntry
 
-/** Share of a server's connections that all instances together may keep unused. */
-private const val IDLE_CONNECTION_SHARE = 0.6
-
 /** Instances of a zone that read the platform for the others; two, so that one may fail. */
 private const val READERS_PER_ZONE = 2
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -89,6 +89,9 @@
     /** Number of links that are open or being opened. */
     val connections get() = pool.size
 
+    /** As [connections], by workspace; null stands for connections without one. */
+    val connectionsByWorkspace get() = pool.sizeByWorkspace
+
     /** Number of links in use and of callers waiting for one. */
     val demand get() = pool.waiting + pool.inUse
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -50,6 +50,7 @@
     private val proofs = ProofFinder(this, context, evidence, probe)
     private val readerChoice = ReaderChoice(this, context, evidence)
     private val pauseCheck = PauseCheck(this, context)
+    private val fullRecordedAt = HashMap<BackendServerName, ComparableTimeMark>()
     private var maintenance: Job? = null
     private var homeRoleSince: ComparableTimeMark? = null
 
@@ -211,9 +212,7 @@
         val pool = LinkPool(
             scope = context.scope,
             time = context.time,
-            limit = { settings.maxConnections },
-            floor = { if (keepsIdleLinks()) MIN_IDLE_LINKS else 0 },
-            idleLimit = { if (keepsIdleLinks()) IDLE_TIMEOUT else TRANSIENT_IDLE_TIMEOUT },
+            budget = ::linkBudget,
             answerTime = { byName[member.name]?.answerTime ?: Duration.ZERO },
             random = context.random,
             open = { open(member.name, it) }
@@ -230,8 +229,7 @@
         )
     }
 
-    private fun keepsIdleLinks() =
-        isHome || context.fleet.canKeepIdleConnections(settings.maxConnections)
+    private fun linkBudget() = context.fleet.linkBudget(service, settings.maxConnections)
 
     private suspend fun open(
         name: BackendServerName,
@@ -239,28 +237,40 @@
     ): Either<OpenError, PooledLink> {
         val member = byName[name]?.member ?: return OpenError.Unreachable("$name is gone").left()
         return context.connector.open(service, member, workspace)
+            .onLeft { if (it is OpenError.TooMany) recordFull(name, workspace) }
             .map { PooledLink(member, it, context.time, workspace) }
     }
 
+    /** Logs that a server refused a connection because it was full, unless it did just before. */
+    private fun recordFull(name: BackendServerName, workspace: WorkspaceName?) {
+        val recordedAt = fullRecordedAt[name]
+        if (recordedAt != null && recordedAt.elapsedNow() < FULL_LOG_PERIOD) return
+        fullRecordedAt[name] = context.time.markNow()
+        val held = byName[name]?.connectionsByWorkspace.orEmpty()
+        context.log.record(
+            "server_full",
+            "service" to service,
+            "server" to name,
+            "workspace" to workspace,
+            "connections" to held.values.sum(),
+            "workspaces" to held.keys.count { it != null }
+        )
+    }
+
     private fun remove(server: GroupServer) {
         byName.remove(server.name)
+        fullRecordedAt.remove(server.name)
         evidence.forget(server)
         server.close()
         context.log.record("server_removed", "service" to service, "server" to server.name)
     }
 
     private companion object {
-        /** Unused links kept to each server. Low, since all instances share its connections. */
-        const val MIN_IDLE_LINKS = 1
-
         /** Age up to which a proof shows that the primary is reachable from this instance. */
         val EVIDENCE_RECENCY = 2_000.milliseconds
 
-        /** Idle time after which a link above [MIN_IDLE_LINKS] is closed. */
-        val IDLE_TIMEOUT = 1_500.milliseconds
-
-        /** Idle timeout on instances that keep no unused links, given the shared limit. */
-        val TRANSIENT_IDLE_TIMEOUT = 150.milliseconds
+        /** Minimum time between log lines on the same full server. */
+        val FULL_LOG_PERIOD = 5_000.milliseconds
 
         /** Time without a proof after which a group may count as silent: two lost probes. */
         val SILENCE_TIMEOUT = 900.milliseconds
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -3,77 +3,84 @@
 import arrow.core.Either
 import arrow.core.right
 import kotlin.random.Random
-import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.yuccawind.core.statement.SessionState
 import org.yuccawind.core.workspace.WorkspaceName
 
 /**
- * Backoff before the next attempt to open a connection after the server refused one because it was
- * full; about five times the time that opening takes.
+ * Waiting time after which a caller whose workspace has no connection here gets the next place,
+ * ahead of callers whose workspace has one.
  */
-private val INITIAL_OPEN_BACKOFF = 100.milliseconds
-
-/** Range of the random factor applied to a backoff. */
-private const val MIN_JITTER = 0.5
-private const val MAX_JITTER = 1.5
-
-/** Upper limit of the backoff, which doubles with each refusal in a row. */
-private val MAX_OPEN_BACKOFF = 800.milliseconds
+internal val FAIR_WAIT = 200.milliseconds
 
 /**
  * Pool of this instance's connections to one backend server. Confined to the event loop of its
  * group.
  *
  * Connections are opened only while callers wait. A new or released connection goes to the first
- * caller of its workspace in the order of [LinkQueue]. At the limit an idle connection of another
- * workspace is closed for a caller that waits.
+ * caller of its workspace in the order of [LinkQueue]. Where room is short a connection of one
+ * workspace gives way to a caller of another.
+ *
+ * The proxy's own connections have no workspace. They are counted, opened and closed apart from
+ * those of workspaces.
  *
- * @param limit maximum number of connections of this instance to the server
- * @param floor number of connections that stay open when idle
- * @param idleLimit idle time after which a connection above the floor may be closed
+ * @param budget this instance's part of the server's connections
  * @param answerTime expected time from the acquisition of a link to the server's answer
  * @param random source of the backoff jitter
  */
 internal class LinkPool(
     private val scope: CoroutineScope,
     private val time: TimeSource.WithComparableMarks,
-    private val limit: () -> Int,
-    private val floor: () -> Int,
-    private val idleLimit: () -> Duration,
+    private val budget: () -> LinkBudget,
     answerTime: () -> Duration,
-    private val random: Random,
+    random: Random,
     private val open: suspend (WorkspaceName?) -> Either<OpenError, PooledLink>
 ) {
-    private val idle = ArrayDeque<PooledLink>()
+    private val arrivals = WorkspaceArrivals(time)
+    private val resting = RestingLinks(arrivals::rateOf)
+    private val turns = WorkspaceTurns()
     private val waiters = LinkQueue(time, answerTime)
-    private var held = 0
+    private val heldBy = HashMap<WorkspaceName?, Int>()
     private val openingBy = HashMap<WorkspaceName?, Int>()
-    private val opening get() = openingBy.values.sum()
-    private var backoffUntil: ComparableTimeMark? = null
-    private var openBackoff = INITIAL_OPEN_BACKOFF
+    private val ownBackoff = OpenBackoff(time, random)
+    private val workspaceBackoff = OpenBackoff(time, random)
+    private var retry: Job? = null
     private var isClosed = false
 
+    private val ownSize get() = (heldBy[null] ?: 0) + resting.own + (openingBy[null] ?: 0)
+
     /** Number of links that are open or being opened. */
-    val size get() = held + idle.size + opening
+    val size get() = inUse + resting.size + openingBy.values.sum()
 
     /** Number of links in use. */
-    val inUse get() = held
+    val inUse get() = heldBy.values.sum()
 
     /** Number of callers waiting for a link. */
     val waiting get() = waiters.size
 
-    /** True when a caller can acquire a link without waiting. */
-    val hasIdle get() = idle.isNotEmpty()
+    /** True when a link rests that some caller can acquire without waiting. */
+    val hasIdle get() = resting.size > 0
+
+    /** Number of links of each workspace, open or being opened. Null stands for none. */
+    val sizeByWorkspace: Map<WorkspaceName?, Int>
+        get() = (heldBy.keys + openingBy.keys + resting.workspaces).associateWith(::sizeOf)
+            .filterValues { it > 0 }
 
     /** Acquires a link, waiting at most [timeout]. Returns null on timeout. */
     suspend fun acquire(timeout: Duration, urgency: LinkUrgency): Either<OpenError, PooledLink>? {
-        takeIdle(urgency.caller.workspace)?.let { return it.right() }
+        val workspace = urgency.caller.workspace
+        arrivals.record(workspace)
+        resting.take(workspace)?.let {
+            heldBy.merge(workspace, 1, Int::plus)
+            return it.right()
+        }
         val waiter = waiters.add(urgency)
         openForWaiters()
         var result: Either<OpenError, PooledLink>? = null
@@ -87,54 +94,108 @@
 
     /** Returns [link] to the pool, or closes it if a transaction is still open on it. */
     fun release(link: PooledLink) {
-        held--
-        if (!link.isOpen || link.state != SessionState.IDLE || isClosed) {
-            link.close()
-            openForWaiters()
-            return
+        val isReusable = link.isOpen && link.state == SessionState.IDLE && !isClosed
+        val starved = if (isReusable) starvedBy(link.workspace) else null
+        heldBy.merge(link.workspace, -1, Int::plus)
+        when {
+            !isReusable -> {
+                link.close()
+                openForWaiters()
+            }
+
+            starved != null -> {
+                link.close()
+                launchOpen(starved.urgency.caller.workspace)
+            }
+
+            else -> handOffOrKeep(link)
         }
-        handOffOrKeep(link)
     }
 
-    /** Closes links above the floor that have been idle for longer than the idle limit. */
+    /** Closes links that have been idle for longer than the budget allows. */
     fun evictIdle() {
-        while (size > floor()) {
-            val oldest = idle.firstOrNull() ?: return
-            if (oldest.answeredAt.elapsedNow() < idleLimit()) return
-            idle.removeFirst().close()
+        val current = budget()
+        val ownTime =
+            current.ownIdleTime(arrivals.rateOf(null), ownBackoff.isServerFull)
+        while (ownSize > current.ownFloor) {
+            val oldest = resting.oldestOwn ?: break
+            if (oldest.answeredAt.elapsedNow() < ownTime) break
+            resting.remove(oldest)?.close()
         }
+        if (resting.ofWorkspaces == 0) return
+        val workspaceTime =
+            current.workspaceIdleTime(arrivals.rates(), workspaceBackoff.isServerFull)
+        while (true) {
+            val oldest = resting.oldestOfWorkspaces ?: break
+            if (oldest.answeredAt.elapsedNow() < workspaceTime) break
+            resting.remove(oldest)?.close()
+        }
+        limitResting()
     }
 
     /** Closes the pool: idle links at once, the others when they are released. */
     fun close() {
         isClosed = true
-        while (idle.isNotEmpty()) idle.removeFirst().close()
+        resting.closeAll()
         failWaiters(OpenError.Unreachable("server was removed from its group"))
     }
 
     /** Closes all idle links, for use when the server or the network path to it may have failed. */
-    fun closeIdle() {
-        while (idle.isNotEmpty()) idle.removeFirst().close()
+    fun closeIdle() = resting.closeAll()
+
+    private fun sizeOf(workspace: WorkspaceName?) = (heldBy[workspace] ?: 0) +
+        (openingBy[workspace] ?: 0) + resting.count(workspace)
+
+    /**
+     * Returns a caller to which a link of [workspace] gives way: the proxy itself at once, a
+     * workspace without any link here after [FAIR_WAIT], in turn. Null while places are free.
+     */
+    private fun starvedBy(workspace: WorkspaceName?): LinkWaiter? {
+        if (workspace == null || waiters.size == 0) return null
+        return nextInTurn { it != workspace && isFull(it) }
     }
 
-    private fun takeIdle(workspace: WorkspaceName?): PooledLink? {
-        while (true) {
-            val link = idle.lastOrNull { it.workspace == workspace } ?: return null
-            idle.remove(link)
-            if (link.isOpen) {
-                held++
-                return link
-            }
+    /**
+     * Returns the caller whose turn it is among the workspaces without any link here that
+     * [accepts]: the proxy itself first, then those that have waited for [FAIR_WAIT]. Null if there
+     * is none.
+     */
+    private fun nextInTurn(accepts: (WorkspaceName?) -> Boolean): LinkWaiter? {
+        val starved = waiters.firstOfEach().filter {
+            val workspace = it.urgency.caller.workspace
+            sizeOf(workspace) == 0 && accepts(workspace)
         }
+        return starved.firstOrNull { it.urgency.caller.workspace == null }
+            ?: starved.filter { it.since.elapsedNow() >= FAIR_WAIT }
+                .minByOrNull { turns.lastTurnOf(it.urgency.caller.workspace) }
+    }
+
+    /** Returns true if no connection may be opened for [workspace] now. */
+    private fun isFull(workspace: WorkspaceName?): Boolean {
+        val current = budget()
+        val isAtLimit = size >= current.maxConnections ||
+            (workspace != null && size - ownSize >= current.workspaceLimit)
+        return isAtLimit || backoffOf(workspace).isActive
     }
 
+    private fun backoffOf(workspace: WorkspaceName?) =
+        if (workspace == null) ownBackoff else workspaceBackoff
+
     private fun handOffOrKeep(link: PooledLink) {
         if (waiters.handOff(link)) {
-            held++
-        } else {
-            idle.addLast(link)
-            if (waiters.size > 0) openForWaiters()
+            turns.record(link.workspace)
+            heldBy.merge(link.workspace, 1, Int::plus)
+            return
         }
+        resting.add(link)
+        if (link.workspace != null) limitResting()
+        if (waiters.size > 0) openForWaiters()
+    }
+
+    /** Closes the least useful idle links above the number that the budget allows. */
+    private fun limitResting() {
+        val most = budget().maxIdleForWorkspaces(workspaceBackoff.isServerFull)
+        while (resting.ofWorkspaces > most) resting.takeLeastUseful()?.close()
     }
 
     private fun abandon(waiter: LinkWaiter) {
@@ -145,19 +206,43 @@
 
     private fun openForWaiters() {
         if (isClosed) return failWaiters(OpenError.Unreachable("server was removed from its group"))
-        val isBackingOff = backoffUntil?.hasPassedNow() == false
-        while (!isBackingOff) {
-            val next = waiters.firstWithoutOpening(openingBy) ?: break
-            if (size >= limit() && !closeOldestIdle()) break
-            launchOpen(next.urgency.caller.workspace)
-        }
+        openFor { it == null }
+        openFor { it != null }
         if (size == 0) failWaiters(OpenError.TooMany("connection limit reached"))
+        if (waiters.size > 0) scheduleRetry()
+    }
+
+    private fun openFor(accepts: (WorkspaceName?) -> Boolean) {
+        while (true) {
+            val next = nextInTurn(accepts)
+                ?: waiters.firstWithoutOpening(openingBy, accepts) ?: return
+            val workspace = next.urgency.caller.workspace
+            if (isFull(workspace) && !closeOneFor(workspace)) return
+            launchOpen(workspace)
+        }
     }
 
-    private fun closeOldestIdle(): Boolean {
-        val oldest = idle.removeFirstOrNull() ?: return false
-        oldest.close()
-        return true
+    /** Closes an idle link in favour of a caller of [workspace]. Returns false if there is none. */
+    private fun closeOneFor(workspace: WorkspaceName?): Boolean {
+        val current = budget()
+        val hasSurplusOwn = workspace != null && ownSize > current.ownReserve &&
+            size - ownSize < current.workspaceLimit
+        val link = resting.takeLeastUseful()
+            ?: (if (hasSurplusOwn) resting.takeOldestOwn() else null)
+        link?.close()
+        return link != null
+    }
+
+    /** Tries again after the backoff, when no other event may do so. */
+    private fun scheduleRetry() {
+        if (retry?.isActive == true) return
+        val wait = listOf(ownBackoff, workspaceBackoff).filter { it.isActive }
+            .minOfOrNull { it.remaining } ?: return
+        retry = scope.launch {
+            delay(wait + 1.milliseconds)
+            retry = null
+            openForWaiters()
+        }
     }
 
     private fun launchOpen(workspace: WorkspaceName?) {
@@ -170,23 +255,24 @@
     }
 
     private fun onOpened(link: PooledLink) {
-        backoffUntil = null
-        openBackoff = INITIAL_OPEN_BACKOFF
+        backoffOf(link.workspace).onOpened()
         if (isClosed) link.close() else handOffOrKeep(link)
     }
 
     /**
-     * When the server is full, backs off with jitter, so that many instances do not retry at the
-     * same time, and exponentially for as long as it stays full. Waiting callers keep waiting
-     * while other links are in use, since one of these may be released.
+     * When the server is full, closes the idle links of workspaces, which makes room for another
+     * attempt at once, and backs off if there are none. Waiting callers keep waiting while other
+     * links are in use, since one of these may be released.
      */
     private fun onOpenFailed(workspace: WorkspaceName?, error: OpenError) {
         if (error is OpenError.TooMany) {
-            backoffUntil = time.markNow() + openBackoff * random.nextDouble(MIN_JITTER, MAX_JITTER)
-            openBackoff = minOf(openBackoff * 2, MAX_OPEN_BACKOFF)
+            val hasMadeRoom = resting.ofWorkspaces > 0
+            while (resting.ofWorkspaces > 0) resting.takeLeastUseful()?.close()
+            backoffOf(workspace).onRefused(retryAtOnce = hasMadeRoom)
         }
         val shouldFailWaiter = error !is OpenError.TooMany || size == 0
         if (shouldFailWaiter) waiters.failNextOf(workspace, error)
+        if (waiters.size > 0) openForWaiters()
     }
 
     private fun failWaiters(error: OpenError) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
@@ -49,7 +49,7 @@
     val size get() = waiters.size
 
     /** Adds a waiting caller. */
-    fun add(urgency: LinkUrgency) = LinkWaiter(urgency).also { waiters += it }
+    fun add(urgency: LinkUrgency) = LinkWaiter(urgency, time.markNow()).also { waiters += it }
 
     /** Removes a caller. Returns false if it is no longer queued. */
     fun remove(waiter: LinkWaiter) = waiters.remove(waiter)
@@ -77,18 +77,24 @@
 
     /**
      * Returns the first caller for which no connection is being opened, or null. [opening] holds
-     * the number of connections being opened by workspace.
+     * the number of connections being opened by workspace. Only workspaces that [accepts] count.
      */
-    fun firstWithoutOpening(opening: Map<WorkspaceName?, Int>): LinkWaiter? {
+    fun firstWithoutOpening(
+        opening: Map<WorkspaceName?, Int>,
+        accepts: (WorkspaceName?) -> Boolean
+    ): LinkWaiter? {
         val left = HashMap(opening)
         return waiters.firstOrNull {
             val workspace = it.urgency.caller.workspace
             val count = left[workspace] ?: 0
             left[workspace] = count - 1
-            count <= 0
+            count <= 0 && accepts(workspace)
         }
     }
 
+    /** Returns the longest waiting caller of each workspace. */
+    fun firstOfEach(): List<LinkWaiter> = waiters.distinctBy { it.urgency.caller.workspace }
+
     private fun removeNext(accepts: (WorkspaceName?) -> Boolean): LinkWaiter? {
         val latestStart = time.markNow() + answerTime()
         val next = waiters.filter { accepts(it.urgency.caller.workspace) }.minWithOrNull(
@@ -114,8 +120,9 @@
  * A caller that waits for a link.
  *
  * @property urgency its scheduling parameters
+ * @property since time of its arrival
  */
-internal class LinkWaiter(val urgency: LinkUrgency) {
+internal class LinkWaiter(val urgency: LinkUrgency, val since: ComparableTimeMark) {
     /** Completes with a link, or with the error that prevented opening one. */
     val result = CompletableDeferred<Either<OpenError, PooledLink>>()
 
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/link/LinkPoolTest.kt
@@ -96,9 +96,7 @@
     ) = LinkPool(
         scope = backgroundScope,
         time = testTimeSource,
-        limit = { 1 },
-        floor = { 1 },
-        idleLimit = { 1.seconds },
+        budget = { LinkBudget(maxConnections = 1, instances = 1, homes = 1, isHome = true) },
         answerTime = { SERVICE_TIME },
         random = Random(3),
         open = open
