--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
@@ -80,7 +80,7 @@
 
     /** Adds a waiting caller. */
     fun add(urgency: LinkUrgency): LinkWaiter {
-        val waiter = LinkWaiter(urgency, ++added)
+        val waiter = LinkWaiter(urgency, ++added, time.markNow())
         val queue = queueOf(urgency.caller.workspace)
         // Otherwise a workspace could save up its share while it sends nothing.
         if (queue.size == 0) queue.work = maxOf(queue.work, servedWork)
@@ -129,16 +129,30 @@
 
     /**
      * Returns the first caller for which no connection is being opened, or null. [opening] holds
-     * the number of connections being opened by workspace.
+     * the number of connections being opened by workspace. Only workspaces that [accepts] count.
      */
-    fun firstWithoutOpening(opening: Map<WorkspaceName?, Int>): LinkWaiter? {
+    fun firstWithoutOpening(
+        opening: Map<WorkspaceName?, Int>,
+        accepts: (WorkspaceName?) -> Boolean = { true }
+    ): LinkWaiter? {
+        fun lacksOpening(queue: WorkspaceQueue) =
+            accepts(queue.workspace) && queue.size > (opening[queue.workspace] ?: 0)
         if (isTurnOfOldest()) {
             val oldest = byArrival.firstOrNull() ?: return null
-            val workspace = oldest.urgency.caller.workspace
-            if (queueOf(workspace).size > (opening[workspace] ?: 0)) return oldest
+            if (lacksOpening(queueOf(oldest.urgency.caller.workspace))) return oldest
         }
-        val queue = firstQueue { it.size > (opening[it.workspace] ?: 0) } ?: return null
-        return queue.first(latestStart())
+        return firstQueue(::lacksOpening)?.first(latestStart())
+    }
+
+    /** Returns the caller of [workspace] that has waited longest, or null. */
+    fun oldestOf(workspace: WorkspaceName?): LinkWaiter? = byWorkspace[workspace]?.oldest
+
+    /** Returns the longest waiting caller of each workspace among those that waited [atLeast]. */
+    fun oldestOfEach(atLeast: Duration): List<LinkWaiter> {
+        val oldest = byArrival.firstOrNull()
+        if (oldest == null || oldest.since.elapsedNow() < atLeast) return emptyList()
+        return byWorkspace.values.mapNotNull { it.oldest }
+            .filter { it.since.elapsedNow() >= atLeast }
     }
 
     /** Records that a caller of [workspace] held a link for [elapsed]. */
@@ -231,8 +245,13 @@
  *
  * @property urgency its scheduling parameters
  * @property number order of arrival
+ * @property since time of its arrival
  */
-internal class LinkWaiter(val urgency: LinkUrgency, val number: Long) {
+internal class LinkWaiter(
+    val urgency: LinkUrgency,
+    val number: Long,
+    val since: ComparableTimeMark
+) {
     /** Completes with a link, or with the error that prevented opening one. */
     val result = CompletableDeferred<Either<OpenError, PooledLink>>()
 
