--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -28,7 +28,7 @@
     private val context: SessionContext,
     private val key: AccessKey? = null
 ) {
-    private val sessionState = ClientSessionState()
+    private val sessionState = ClientSessionState(context.stateLimit)
     private val reads = SingleRead(context, sessionState)
     private val writes = SingleWrite(context, sessionState)
     private var transaction: ClientTransaction? = null
@@ -36,6 +36,9 @@
     /** Transaction state reported to the client. */
     val state: SessionState get() = transaction?.state ?: SessionState.IDLE
 
+    /** Size of the session variables and prepared statements, in bytes. */
+    val stateBytes: Long get() = sessionState.bytes
+
     /** Current route of the database, or null when the configuration has none. */
     val route: Route? get() = context.config().routes[database]
 
@@ -179,9 +182,9 @@
 
     private fun malformed(detail: String) = refused(StatementCode.MALFORMED, detail)
 
-    private inline fun local(change: () -> Unit): StatementAnswer {
-        change()
-        return done()
+    private inline fun local(change: () -> Boolean): StatementAnswer {
+        if (change()) return done()
+        return refused(StatementCode.TOO_LARGE, "too many variables and prepared statements")
     }
 
     private fun done() = StatementAnswer(emptyList(), StatementResult.Done(null), state)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SessionContext.kt
@@ -18,6 +18,7 @@
  * @property log receives one line per routing decision
  * @property observer notified of each answer sent to a client
  * @property limiter enforces the rate limits of workspaces
+ * @property stateLimit limit on the variables and prepared statements of a session
  */
 class SessionContext(
     val config: () -> RoutingConfig,
@@ -26,5 +27,6 @@
     val time: TimeSource.WithComparableMarks,
     val log: DecisionLog,
     val observer: StatementObserver = StatementObserver.NONE,
-    val limiter: OperationLimiter = OperationLimiter.NONE
+    val limiter: OperationLimiter = OperationLimiter.NONE,
+    val stateLimit: SessionStateLimit = SessionStateLimit.NONE
 )
