Limits of workspaces over all instances: shares promised to keepers

Change: each instance promises its equal share of the limits, for 2 s and by shard, to one keeper; a keeper grants operations from buckets that fill by the shares it holds and start empty. Any operation of a limited workspace asks its keeper first and is refused at once beyond the limit (RATE_LIMITED, `BUSY` on the wire). Who is keeper is a hint; two hold disjoint shares. The greatest size of the fleet is kept in the store, so that instances that start during a cut divide by all.

A configuration without limits makes no call and no write.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -91,7 +91,7 @@
         }
     }
 
-    private fun begin(statement: Statement.Begin): StatementAnswer {
+    private suspend fun begin(statement: Statement.Begin): StatementAnswer {
         if (transaction != null) return malformed("a transaction is open already")
         return startOperation { route, caller ->
             transaction =
@@ -157,7 +157,7 @@
      * workspace is within its rate limit. The three are checked with each operation, since the
      * configuration may change while the session is open.
      */
-    private inline fun startOperation(
+    private suspend inline fun startOperation(
         operation: (Route, Caller) -> StatementAnswer
     ): StatementAnswer {
         val current = route ?: return noDatabase()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/FleetView.kt
@@ -53,7 +53,11 @@
     /** Number of live instances, including this one. */
     val size: Int get() = live.size
 
-    private val isSettled get() = firstListAt?.let { it.elapsedNow() >= settlingTime } == true
+    /** The live instances, including this one, by name. The list is replaced when it changes. */
+    val instances: List<InstanceEntry> get() = live
+
+    /** True once the list was known for long enough to assign work by it. */
+    val isSettled get() = firstListAt?.let { it.elapsedNow() >= settlingTime } == true
 
     /** Applies [entries], newly read from the platform. */
     fun onList(entries: List<InstanceEntry>) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/peer/PeerMessage.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/peer/PeerMessage.kt
@@ -13,7 +13,10 @@
 import org.yuccawind.core.result.ResultCode
 import org.yuccawind.core.write.WriteResult
 
-/** A message between two instances. Messages are hints: no safety property depends on them. */
+/**
+ * A message between two instances. Any may be lost, late or doubled. Only the limits of workspaces
+ * depend on messages, on those that promise a share or grant operations for a fixed time.
+ */
 @Serializable
 sealed interface PeerMessage {
     /**
@@ -213,6 +216,54 @@
         val era: Long = 0
     ) : PeerMessage
 
+    /**
+     * Requests the receiver's share of the limits of one shard of the workspaces; the reply is
+     * [ShareGiven] or [ShareHeld].
+     *
+     * @property keeper name of the sender, which grants operations from the shares
+     * @property shard number of the shard
+     * @property fleetSize number of instances among which the sender divides the limits
+     */
+    @Serializable
+    @SerialName("share-wanted")
+    data class ShareWanted(val keeper: String, val shard: Int, val fleetSize: Int) : PeerMessage
+
+    /**
+     * Reply to [ShareWanted]: the share is promised to the requester for a fixed time.
+     *
+     * @property serial number of the promise
+     * @property fleetSize number of instances among which the sender divides the limits
+     */
+    @Serializable
+    @SerialName("share-given")
+    data class ShareGiven(val serial: Long, val fleetSize: Int) : PeerMessage
+
+    /** Reply to [ShareWanted]: the share is promised to [keeper]; null if not available yet. */
+    @Serializable
+    @SerialName("share-held")
+    data class ShareHeld(val keeper: String?) : PeerMessage
+
+    /** Gives back the share that promise [serial] of the receiver gave to [keeper]. */
+    @Serializable
+    @SerialName("share-released")
+    data class ShareReleased(val keeper: String, val shard: Int, val serial: Long) : PeerMessage
+
+    /** Requests that [instance] may start [count] operations of [workspace]. */
+    @Serializable
+    @SerialName("operations-wanted")
+    data class OperationsWanted(val instance: String, val workspace: String, val count: Int) :
+        PeerMessage
+
+    /**
+     * Reply to [OperationsWanted].
+     *
+     * @property count operations granted, to be started within a fixed time of the request
+     * @property keeper instance to ask for operations of this workspace; null if unknown
+     */
+    @Serializable
+    @SerialName("operations-granted")
+    data class OperationsGranted(val count: Int, val keeper: String? = null) : PeerMessage
+
     /** Empty reply. */
     @Serializable
     @SerialName("done")
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/OperationLimiter.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/OperationLimiter.kt
@@ -6,7 +6,7 @@
  */
 fun interface OperationLimiter {
     /** Counts one operation of [workspace]. Returns false if it exceeds the limit. */
-    fun tryStart(workspace: Workspace): Boolean
+    suspend fun tryStart(workspace: Workspace): Boolean
 
     companion object {
         /** Admits every operation. */
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
@@ -0,0 +1,137 @@
+package org.yuccawind.core.workspace.limit
+
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
+import org.yuccawind.core.peer.PeerMessage
+import org.yuccawind.core.port.DecisionLog
+import org.yuccawind.core.time.SuspensionDetector
+import org.yuccawind.core.workspace.OperationLimiter
+import org.yuccawind.core.workspace.Workspace
+import org.yuccawind.core.workspace.WorkspaceName
+
+/** Keepers asked for one operation. */
+private const val MAX_KEEPERS_ASKED = 2
+
+/**
+ * Admits operations that the keeper of their workspace grants. Operations that arrive while the
+ * keeper is asked are requested together. Confined to the event loop.
+ */
+class FleetLimiter(
+    private val collector: ShareCollector,
+    private val peers: LimitPeers,
+    private val time: TimeSource.WithComparableMarks,
+    private val suspensions: SuspensionDetector,
+    private val scope: CoroutineScope,
+    private val log: DecisionLog,
+    private val watch: LimitWatch
+) : OperationLimiter {
+    private val desks = HashMap<WorkspaceName, Desk>()
+    private var resumedAt = suspensions.resumedAt()
+
+    override suspend fun tryStart(workspace: Workspace): Boolean {
+        if (workspace.limit == null) return true
+        checkSuspension()
+        val desk = desks.getOrPut(workspace.name) { Desk(workspace.name) }
+        val isAdmitted = desk.purse.tryStart(time.markNow()) ?: desk.ask()
+        watch.decided(workspace.name, isAdmitted, time.markNow())
+        return isAdmitted
+    }
+
+    /** Answers another instance's request for operations. */
+    fun answer(message: PeerMessage.OperationsWanted): PeerMessage {
+        val workspace = WorkspaceName(message.workspace)
+        if (!peers.isListed(message.instance) || message.count <= 0) {
+            log.record(
+                "operations_refused",
+                "instance" to message.instance,
+                "count" to message.count
+            )
+            return PeerMessage.OperationsGranted(count = 0)
+        }
+        val granted = collector.take(workspace, message.count)
+        val keeper = collector.keeperOf(ShareTerms.shardOf(workspace))
+        return PeerMessage.OperationsGranted(granted, keeper)
+    }
+
+    private fun checkSuspension() {
+        val latest = suspensions.resumedAt()
+        if (latest == resumedAt) return
+        resumedAt = latest
+        desks.values.forEach { it.purse.onSuspension() }
+    }
+
+    /** Asks the keeper for [count] operations. Returns how many it granted. */
+    private suspend fun request(workspace: WorkspaceName, count: Int): Int {
+        val shard = ShareTerms.shardOf(workspace)
+        var asked = collector.keeperOf(shard) ?: return 0
+        repeat(MAX_KEEPERS_ASKED) {
+            val reply = requestFrom(asked, workspace, count)
+            if (reply != null && reply.count > 0) return checked(reply.count, count, asked)
+            val next = if (reply == null) collector.keeperOf(shard) else reply.keeper
+            if (next == null || next == asked || !peers.isListed(next)) return 0
+            asked = next
+        }
+        return 0
+    }
+
+    private suspend fun requestFrom(
+        keeper: String,
+        workspace: WorkspaceName,
+        count: Int
+    ): PeerMessage.OperationsGranted? {
+        if (keeper == peers.self) {
+            return PeerMessage.OperationsGranted(collector.take(workspace, count), keeper)
+        }
+        val wanted = PeerMessage.OperationsWanted(peers.self, workspace.value, count)
+        return peers.call(keeper, wanted) as? PeerMessage.OperationsGranted
+    }
+
+    private fun checked(granted: Int, wanted: Int, from: String): Int {
+        if (granted <= wanted) return granted
+        log.record("grant_refused", "instance" to from, "count" to granted, "wanted" to wanted)
+        return 0
+    }
+
+    /** Operations of one workspace that wait for its keeper. */
+    private inner class Desk(private val workspace: WorkspaceName) {
+        val purse = OperationPurse(time.markNow())
+        private var waiting = ArrayDeque<CompletableDeferred<Boolean>>()
+        private var isAsking = false
+
+        suspend fun ask(): Boolean {
+            val decision = CompletableDeferred<Boolean>()
+            waiting.addLast(decision)
+            if (!isAsking) scope.launch(start = CoroutineStart.UNDISPATCHED) { askForAll() }
+            return decision.await()
+        }
+
+        private suspend fun askForAll() {
+            isAsking = true
+            try {
+                while (waiting.isNotEmpty()) askForWaiting()
+            } finally {
+                isAsking = false
+                waiting.forEach { it.complete(false) }
+                waiting.clear()
+            }
+        }
+
+        private suspend fun askForWaiting() {
+            val round = waiting
+            waiting = ArrayDeque()
+            try {
+                val sentAt = time.markNow()
+                val granted = request(workspace, purse.wanted(round.size))
+                checkSuspension()
+                val usable = if (sentAt < resumedAt) 0 else granted
+                val started = purse.onGrant(usable, round.size, sentAt, time.markNow())
+                repeat(started) { round.removeFirst().complete(true) }
+            } finally {
+                round.forEach { it.complete(false) }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/LimitPeers.kt
@@ -0,0 +1,79 @@
+package org.yuccawind.core.workspace.limit
+
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import org.yuccawind.core.fleet.FleetView
+import org.yuccawind.core.membership.Rendezvous
+import org.yuccawind.core.model.InstanceId
+import org.yuccawind.core.peer.PeerMessage
+import org.yuccawind.core.port.DecisionLog
+import org.yuccawind.core.port.InstanceEntry
+import org.yuccawind.core.port.PeerClient
+
+/** Timeout of a reply; a round trip between zones and some time of a busy processor. */
+private val REPLY_TIMEOUT = 120.milliseconds
+
+/** Time for which an instance that did not reply counts as silent. */
+private val SILENT_TIME = 1_500.milliseconds
+
+/** Instances of the fleet as the limits see them: who is listed, who answers, who comes first. */
+class LimitPeers(
+    val fleet: FleetView,
+    private val peers: PeerClient,
+    private val time: TimeSource.WithComparableMarks,
+    private val log: DecisionLog
+) {
+    private val silentUntil = HashMap<String, ComparableTimeMark>()
+    private var orderedFor: List<InstanceEntry> = emptyList()
+    private val orders = HashMap<Int, List<String>>()
+
+    /** Name of this instance. */
+    val self: String get() = fleet.self.name
+
+    /** Names of all listed instances but this one. */
+    val others: List<String> get() = fleet.instances.map { it.name }.filter { it != self }
+
+    /** Returns true if [name] is on the platform's list. */
+    fun isListed(name: String) = entryOf(name) != null
+
+    /** Returns true if [name] didn't reply of late. */
+    fun isSilent(name: String) = silentUntil[name]?.let { !it.hasPassedNow() } == true
+
+    /** Returns the instance that keeps [shard] if none does yet. */
+    fun firstFor(shard: Int): String? {
+        if (orderedFor !== fleet.instances) {
+            orderedFor = fleet.instances
+            orders.clear()
+            silentUntil.keys.retainAll(orderedFor.mapTo(HashSet()) { it.name })
+        }
+        return orders.getOrPut(shard) { orderOf(shard) }.firstOrNull { !isSilent(it) }
+    }
+
+    /** Calls the instance [name]. Returns its reply, or null if it gave none in [limit]. */
+    suspend fun call(
+        name: String,
+        message: PeerMessage,
+        limit: Duration = REPLY_TIMEOUT
+    ): PeerMessage? {
+        val address = entryOf(name)?.peerAddress.orEmpty()
+        if (address.isEmpty()) return null
+        return peers.call(address, message, limit).fold({
+            if (name !in silentUntil) {
+                log.record("limit_peer_silent", "instance" to name, "reason" to it.detail)
+            }
+            silentUntil[name] = time.markNow() + SILENT_TIME
+            null
+        }, {
+            silentUntil.remove(name)
+            it
+        })
+    }
+
+    private fun entryOf(name: String) = fleet.instances.firstOrNull { it.name == name }
+
+    private fun orderOf(shard: Int) =
+        Rendezvous.order("limits-$shard", fleet.instances.map { InstanceId(it.name) })
+            .map { it.value }
+}
--- /dev/null
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareCollector.kt
@@ -0,0 +1,191 @@
+package org.yuccawind.core.workspace.limit
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.yuccawind.core.peer.PeerMessage
+import org.yuccawind.core.port.DecisionLog
+import org.yuccawind.core.time.SuspensionDetector
+import org.yuccawind.core.workspace.RateLimit
+import org.yuccawind.core.workspace.WorkspaceName
+import org.yuccawind.core.workspace.Workspaces
+
+/** Interval between checks of the keepers. */
+private val CHECK_PERIOD = 50.milliseconds
+
+/** Factor by which another instance's count of the fleet may exceed this one's. */
+private const val MAX_SIZE_FACTOR = 4
+
+/**
+ * Runs the keepers of this instance and answers for its own share. Confined to the event loop.
+ *
+ * @param workspaces returns the workspaces of the configuration in force
+ * @param granterOf returns the granter for the shares of one keeper
+ */
+class ShareCollector(
+    private val peers: LimitPeers,
+    private val own: ShareGiver,
+    private val time: TimeSource.WithComparableMarks,
+    private val suspensions: SuspensionDetector,
+    private val scope: CoroutineScope,
+    private val log: DecisionLog,
+    private val workspaces: () -> Workspaces,
+    granterOf: (HeldShares) -> Granter
+) {
+    private val keepers =
+        List(ShareTerms.SHARDS) { ShareKeeper(peers.self, time.markNow(), granterOf) }
+    private var resumedAt = suspensions.resumedAt()
+    private var storedSize: Int? = null
+    private var isLeaving = false
+
+    /** Greatest number of instances seen at a time, among which the limits are divided. */
+    var fleetSize = 1
+        private set
+
+    /** True if the configuration limits any workspace. */
+    val isNeeded get() = workspaces().byName.values.any { it.limit != null }
+
+    /** Share of the limits that this instance may grant, by shard. */
+    val held: List<Double> get() = keepers.map { it.held }
+
+    /** Sets the fleet's size known from before this process. Nothing is granted until then. */
+    fun onStoredSize(size: Int) {
+        storedSize = size
+        fleetSize = maxOf(fleetSize, size)
+    }
+
+    /** Collects shares until cancelled. */
+    suspend fun run() {
+        while (true) {
+            delay(CHECK_PERIOD)
+            if (isNeeded) keepers.indices.forEach(::check)
+        }
+    }
+
+    /** Gives back all shares and grants no more. */
+    fun leave() {
+        isLeaving = true
+        keepers.indices.forEach { if (keepers[it].isActive) stop(it, "leaving") }
+    }
+
+    /** Returns the keeper to ask for [shard], or null if no instance is known that may answer. */
+    fun keeperOf(shard: Int): String? {
+        val holder = own.keeperOf(shard, time.markNow()) ?: keepers[shard].rival
+        return holder?.takeIf { !peers.isSilent(it) && peers.isListed(it) }
+            ?: peers.firstFor(shard)
+    }
+
+    /** Grants up to [wanted] operations of [workspace], as its keeper. */
+    fun take(workspace: WorkspaceName, wanted: Int): Int {
+        val limit: RateLimit = workspaces().byName[workspace]?.limit ?: return 0
+        checkSuspension()
+        val keeper = keepers[ShareTerms.shardOf(workspace)]
+        if (mayCollect()) keeper.activate(time.markNow())
+        return keeper.take(workspace, limit, wanted, time.markNow())
+    }
+
+    /** Answers a request for this instance's share. */
+    fun answer(message: PeerMessage.ShareWanted): PeerMessage {
+        if (!peers.isListed(message.keeper) || message.shard !in keepers.indices) {
+            log.record("share_refused", "keeper" to message.keeper, "shard" to message.shard)
+            return PeerMessage.ShareHeld(keeper = null)
+        }
+        onSize(message.fleetSize, message.keeper)
+        return when (val reply = own.promise(message.shard, message.keeper, time.markNow())) {
+            is ShareReply.Given -> PeerMessage.ShareGiven(reply.serial, fleetSize)
+            is ShareReply.HeldBy -> PeerMessage.ShareHeld(reply.keeper)
+            ShareReply.NotYet -> PeerMessage.ShareHeld(keeper = null)
+        }
+    }
+
+    /** Takes back a share that a keeper gives up. */
+    fun answer(message: PeerMessage.ShareReleased): PeerMessage {
+        if (!own.release(message.shard, message.keeper, message.serial)) {
+            log.record(
+                "share_release_ignored",
+                "keeper" to message.keeper,
+                "shard" to message.shard
+            )
+        }
+        return PeerMessage.Done
+    }
+
+    /** Drops what was promised before a suspension. */
+    private fun checkSuspension() {
+        val latest = suspensions.resumedAt()
+        if (latest == resumedAt) return
+        resumedAt = latest
+        keepers.forEach { it.onSuspension(time.markNow()) }
+    }
+
+    private fun check(shard: Int) {
+        checkSuspension()
+        val now = time.markNow()
+        val keeper = keepers[shard]
+        val isFirst = peers.firstFor(shard) == peers.self
+        if (isFirst && mayCollect() && own.keeperOf(shard, now).isSelfOrNone()) keeper.activate(now)
+        if (keeper.mustStop(now, isFirst, peers::isSilent)) stop(shard, "rival ${keeper.rival}")
+        if (keeper.isRoundDue(now)) collect(shard)
+    }
+
+    private fun mayCollect() = !isLeaving && storedSize != null && peers.fleet.isSettled
+
+    private fun String?.isSelfOrNone() = this == null || this == peers.self
+
+    private fun collect(shard: Int) {
+        val keeper = keepers[shard]
+        fleetSize = maxOf(fleetSize, peers.fleet.size)
+        val now = time.markNow()
+        keeper.onFleetSize(fleetSize, now)
+        keeper.onReply(peers.self, own.promise(shard, peers.self, now), now, now)
+        peers.others.filter { !peers.isSilent(it) }.forEach { scope.launch { request(shard, it) } }
+    }
+
+    private suspend fun request(shard: Int, member: String) {
+        val sentAt = time.markNow()
+        val wanted = PeerMessage.ShareWanted(peers.self, shard, fleetSize)
+        val reply = peers.call(member, wanted) ?: return
+        checkSuspension()
+        if (sentAt < resumedAt) return
+        val isUsed = when (reply) {
+            is PeerMessage.ShareGiven -> {
+                onSize(reply.fleetSize, member)
+                val given = ShareReply.Given(reply.serial)
+                keepers[shard].onFleetSize(fleetSize, time.markNow())
+                keepers[shard].onReply(member, given, sentAt, time.markNow())
+            }
+
+            is PeerMessage.ShareHeld -> {
+                val held = reply.keeper?.let { ShareReply.HeldBy(it) } ?: ShareReply.NotYet
+                keepers[shard].onReply(member, held, sentAt, time.markNow())
+            }
+
+            else -> false
+        }
+        if (!isUsed) log.record("share_reply_ignored", "instance" to member, "shard" to shard)
+    }
+
+    private fun stop(shard: Int, reason: String) {
+        log.record("share_keeper_stopped", "shard" to shard, "reason" to reason)
+        val now = time.markNow()
+        keepers[shard].stop(now).forEach { (member, serial) ->
+            if (member == peers.self) {
+                own.release(shard, peers.self, serial)
+            } else {
+                val message = PeerMessage.ShareReleased(peers.self, shard, serial)
+                scope.launch { peers.call(member, message) }
+            }
+        }
+    }
+
+    private fun onSize(size: Int, from: String) {
+        if (size <= fleetSize) return
+        if (size > maxOf(peers.fleet.size, fleetSize) * MAX_SIZE_FACTOR) {
+            log.record("fleet_size_refused", "instance" to from, "size" to size)
+            return
+        }
+        fleetSize = size
+    }
+}
