Limits: slow replies are not taken for silence, and promises cost less

Cause: replies later than 120 ms made the keeper silent for 1.5 s to those that asked; they asked another instance, which collected shares beside it (19 yields after traffic began). Promises were renewed 92 times a second by 16 instances for 65 operations.

Change: an instance is silent for 200 ms after its first missing reply, twice as long after each further one; replies about shares may take 500 ms; an instance that promised to another keeper that answers doesn't contend with it. A keeper logs what limit and share it had when one is reached.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
@@ -1,5 +1,6 @@
 package org.yuccawind.core.workspace.limit
 
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -12,6 +13,9 @@
 import org.yuccawind.core.workspace.Workspace
 import org.yuccawind.core.workspace.WorkspaceName
 
+/** Timeout of a keeper's reply: a round trip between zones and some time of a busy processor. */
+private val GRANT_TIMEOUT = 180.milliseconds
+
 /** Keepers asked for one operation. */
 private const val MAX_KEEPERS_ASKED = 2
 
@@ -86,7 +90,7 @@
             return PeerMessage.OperationsGranted(collector.take(workspace, count), keeper)
         }
         val wanted = PeerMessage.OperationsWanted(peers.self, workspace.value, count)
-        return peers.call(keeper, wanted) as? PeerMessage.OperationsGranted
+        return peers.call(keeper, wanted, GRANT_TIMEOUT) as? PeerMessage.OperationsGranted
     }
 
     private fun checked(granted: Int, wanted: Int, from: String): Int {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/LimitPeers.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/LimitPeers.kt
@@ -12,11 +12,11 @@
 import org.yuccawind.core.port.InstanceEntry
 import org.yuccawind.core.port.PeerClient
 
-/** Timeout of a reply; a round trip between zones and some time of a busy processor. */
-private val REPLY_TIMEOUT = 120.milliseconds
+/** Time for which an instance counts as silent after its first missing reply. */
+private val FIRST_SILENT_TIME = 200.milliseconds
 
-/** Time for which an instance that did not reply counts as silent. */
-private val SILENT_TIME = 1_500.milliseconds
+/** Greatest time for which an instance counts as silent; each missing reply doubles the time. */
+private val MAX_SILENT_TIME = 1_600.milliseconds
 
 /** Instances of the fleet as the limits see them: who is listed, who answers, who comes first. */
 class LimitPeers(
@@ -25,7 +25,7 @@
     private val time: TimeSource.WithComparableMarks,
     private val log: DecisionLog
 ) {
-    private val silentUntil = HashMap<String, ComparableTimeMark>()
+    private val silences = HashMap<String, Silence>()
     private var orderedFor: List<InstanceEntry> = emptyList()
     private val orders = HashMap<Int, List<String>>()
 
@@ -39,41 +39,44 @@
     fun isListed(name: String) = entryOf(name) != null
 
     /** Returns true if [name] didn't reply of late. */
-    fun isSilent(name: String) = silentUntil[name]?.let { !it.hasPassedNow() } == true
+    fun isSilent(name: String) = silences[name]?.let { !it.until.hasPassedNow() } == true
 
     /** Returns the instance that keeps [shard] if none does yet. */
     fun firstFor(shard: Int): String? {
         if (orderedFor !== fleet.instances) {
             orderedFor = fleet.instances
             orders.clear()
-            silentUntil.keys.retainAll(orderedFor.mapTo(HashSet()) { it.name })
+            silences.keys.retainAll(orderedFor.mapTo(HashSet()) { it.name })
         }
         return orders.getOrPut(shard) { orderOf(shard) }.firstOrNull { !isSilent(it) }
     }
 
     /** Calls the instance [name]. Returns its reply, or null if it gave none in [limit]. */
-    suspend fun call(
-        name: String,
-        message: PeerMessage,
-        limit: Duration = REPLY_TIMEOUT
-    ): PeerMessage? {
+    suspend fun call(name: String, message: PeerMessage, limit: Duration): PeerMessage? {
         val address = entryOf(name)?.peerAddress.orEmpty()
         if (address.isEmpty()) return null
         return peers.call(address, message, limit).fold({
-            if (name !in silentUntil) {
-                log.record("limit_peer_silent", "instance" to name, "reason" to it.detail)
-            }
-            silentUntil[name] = time.markNow() + SILENT_TIME
+            onMissingReply(name, it.detail)
             null
         }, {
-            silentUntil.remove(name)
+            silences.remove(name)
             it
         })
     }
 
+    private fun onMissingReply(name: String, reason: String) {
+        if (isSilent(name)) return
+        val last = silences[name]?.length
+        if (last == null) log.record("limit_peer_silent", "instance" to name, "reason" to reason)
+        val length = if (last == null) FIRST_SILENT_TIME else minOf(last * 2, MAX_SILENT_TIME)
+        silences[name] = Silence(time.markNow() + length, length)
+    }
+
     private fun entryOf(name: String) = fleet.instances.firstOrNull { it.name == name }
 
     private fun orderOf(shard: Int) =
         Rendezvous.order("limits-$shard", fleet.instances.map { InstanceId(it.name) })
             .map { it.value }
+
+    private class Silence(val until: ComparableTimeMark, val length: Duration)
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareCollector.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareCollector.kt
@@ -1,6 +1,8 @@
 package org.yuccawind.core.workspace.limit
 
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -15,6 +17,12 @@
 /** Interval between checks of the keepers. */
 private val CHECK_PERIOD = 50.milliseconds
 
+/** Timeout of a reply about a share, which counts from the request and need not come soon. */
+private val SHARE_TIMEOUT = 500.milliseconds
+
+/** Interval between lines about one workspace that has reached its limit. */
+private val REACHED_LOG_PERIOD = 5.seconds
+
 /** Factor by which another instance's count of the fleet may exceed this one's. */
 private const val MAX_SIZE_FACTOR = 4
 
@@ -39,6 +47,7 @@
     private var resumedAt = suspensions.resumedAt()
     private var storedSize: Int? = null
     private var isLeaving = false
+    private val reachedAt = HashMap<WorkspaceName, ComparableTimeMark>()
 
     /** Greatest number of instances seen at a time, among which the limits are divided. */
     var fleetSize = 1
@@ -81,9 +90,33 @@
     fun take(workspace: WorkspaceName, wanted: Int): Int {
         val limit: RateLimit = workspaces().byName[workspace]?.limit ?: return 0
         checkSuspension()
-        val keeper = keepers[ShareTerms.shardOf(workspace)]
-        if (mayCollect()) keeper.activate(time.markNow())
-        return keeper.take(workspace, limit, wanted, time.markNow())
+        val shard = ShareTerms.shardOf(workspace)
+        val keeper = keepers[shard]
+        val now = time.markNow()
+        // An instance that was asked because the keeper was slow does not contend with it.
+        val holder = own.keeperOf(shard, now)
+        val isFree = holder.isSelfOrNone() || peers.isSilent(checkNotNull(holder))
+        if (mayCollect() && isFree) keeper.activate(now)
+        val granted = keeper.take(workspace, limit, wanted, now)
+        if (granted < wanted && keeper.isActive) logReached(workspace, limit, keeper.held, now)
+        return granted
+    }
+
+    private fun logReached(
+        workspace: WorkspaceName,
+        limit: RateLimit,
+        held: Double,
+        now: ComparableTimeMark
+    ) {
+        if (reachedAt[workspace]?.let { now - it < REACHED_LOG_PERIOD } == true) return
+        reachedAt[workspace] = now
+        log.record(
+            "limit_reached",
+            "workspace" to workspace,
+            "per_second" to limit.perSecond,
+            "burst" to limit.burst,
+            "share" to held
+        )
     }
 
     /** Answers a request for this instance's share. */
@@ -146,7 +179,7 @@
     private suspend fun request(shard: Int, member: String) {
         val sentAt = time.markNow()
         val wanted = PeerMessage.ShareWanted(peers.self, shard, fleetSize)
-        val reply = peers.call(member, wanted) ?: return
+        val reply = peers.call(member, wanted, SHARE_TIMEOUT) ?: return
         checkSuspension()
         if (sentAt < resumedAt) return
         val isUsed = when (reply) {
@@ -175,7 +208,7 @@
                 own.release(shard, peers.self, serial)
             } else {
                 val message = PeerMessage.ShareReleased(peers.self, shard, serial)
-                scope.launch { peers.call(member, message) }
+                scope.launch { peers.call(member, message, SHARE_TIMEOUT) }
             }
         }
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareKeeper.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareKeeper.kt
@@ -7,10 +7,10 @@
 import org.yuccawind.core.workspace.WorkspaceName
 
 /** Interval between requests for the shares; two may be lost within one [ShareTerms.TERM]. */
-private val ROUND_PERIOD = 650.milliseconds
+private val ROUND_PERIOD = 1_300.milliseconds
 
 /** Interval between requests while the shares are collected. */
-private val FIRST_ROUNDS_PERIOD = 150.milliseconds
+private val FIRST_ROUNDS_PERIOD = 300.milliseconds
 
 /** Time for which a new keeper requests shares at the shorter interval. */
 private val COLLECTING_TIME = 3.seconds
