--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
@@ -1,5 +1,6 @@
 package org.yuccawind.core.workspace.limit
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
@@ -10,6 +11,7 @@
 import org.yuccawind.core.port.DecisionLog
 import org.yuccawind.core.time.SuspensionDetector
 import org.yuccawind.core.workspace.OperationLimiter
+import org.yuccawind.core.workspace.RateLimit
 import org.yuccawind.core.workspace.Workspace
 import org.yuccawind.core.workspace.WorkspaceName
 
@@ -36,10 +38,10 @@
     private var resumedAt = suspensions.resumedAt()
 
     override suspend fun tryStart(workspace: Workspace): Boolean {
-        if (workspace.limit == null) return true
+        val limit = workspace.limit ?: return true
         checkSuspension()
         val desk = desks.getOrPut(workspace.name) { Desk(workspace.name) }
-        val isAdmitted = desk.purse.tryStart(time.markNow()) ?: desk.ask()
+        val isAdmitted = desk.purse.tryStart(time.markNow()) ?: desk.ask(limit)
         watch.decided(workspace.name, isAdmitted, time.markNow())
         return isAdmitted
     }
@@ -104,8 +106,10 @@
         val purse = OperationPurse(time.markNow())
         private var waiting = ArrayDeque<CompletableDeferred<Boolean>>()
         private var isAsking = false
+        private var refusedFor = Duration.ZERO
 
-        suspend fun ask(): Boolean {
+        suspend fun ask(limit: RateLimit): Boolean {
+            refusedFor = OperationPurse.refusedFor(limit, peers.fleet.size)
             val decision = CompletableDeferred<Boolean>()
             waiting.addLast(decision)
             if (!isAsking) scope.launch(start = CoroutineStart.UNDISPATCHED) { askForAll() }
@@ -131,7 +135,8 @@
                 val granted = request(workspace, purse.wanted(round.size))
                 checkSuspension()
                 val usable = if (sentAt < resumedAt) 0 else granted
-                val started = purse.onGrant(usable, round.size, sentAt, time.markNow())
+                val started =
+                    purse.onGrant(usable, round.size, sentAt, time.markNow(), refusedFor)
                 repeat(started) { round.removeFirst().complete(true) }
             } finally {
                 round.forEach { it.complete(false) }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/OperationPurse.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/OperationPurse.kt
@@ -1,12 +1,17 @@
 package org.yuccawind.core.workspace.limit
 
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
+import org.yuccawind.core.workspace.RateLimit
 
-/** Time after a refusal in which further operations are refused without asking the keeper. */
-private val REFUSED_TIME = 30.milliseconds
+/** Bounds of the time after a refusal in which the keeper isn't asked again. */
+private val REFUSED_TIMES = 30.milliseconds..200.milliseconds
+
+/** Requests of all instances for each operation that the limit allows, once it is reached. */
+private const val ASKS_PER_OPERATION = 3
 
 /** Period over which the rate of operations is measured. */
 private val RATE_PERIOD = 1.seconds
@@ -19,7 +24,6 @@
     private var spare = 0
     private var spareUntil = startedAt
     private var refusedUntil = startedAt
-    private var isLimited = false
     private var periodAt = startedAt
     private var arrivals = 0
     private var lastArrivals = 0
@@ -37,24 +41,23 @@
 
     /** Number of operations to request for [waiting] ones. */
     fun wanted(waiting: Int): Int {
-        if (isLimited) return waiting
         val expected = lastArrivals * ShareTerms.GRANT_TTL.toDouble(DurationUnit.SECONDS)
         return waiting + (expected * AHEAD_SHARE).toInt()
     }
 
     /**
      * Handles the grant of [granted] operations, requested at [sentAt] for [waiting] ones. Returns
-     * how many of these may start.
+     * how many of these may start. After a refusal the keeper is left alone for [refusedFor].
      */
     fun onGrant(
         granted: Int,
         waiting: Int,
         sentAt: ComparableTimeMark,
-        now: ComparableTimeMark
+        now: ComparableTimeMark,
+        refusedFor: Duration
     ): Int {
         val usable = if (now - sentAt < ShareTerms.GRANT_TTL) granted else 0
-        isLimited = usable < waiting
-        if (isLimited) refusedUntil = now + REFUSED_TIME
+        if (usable < waiting) refusedUntil = now + refusedFor
         spare = maxOf(0, usable - waiting)
         spareUntil = sentAt + ShareTerms.GRANT_TTL
         return minOf(usable, waiting)
@@ -65,6 +68,15 @@
         spare = 0
     }
 
+    companion object {
+        /** Returns the time to leave the keeper alone after a refusal, for [instances] that ask. */
+        fun refusedFor(limit: RateLimit, instances: Int): Duration {
+            val asksPerSecond = limit.perSecond * ASKS_PER_OPERATION / instances
+            val interval = if (asksPerSecond > 0) (1 / asksPerSecond).seconds else Duration.INFINITE
+            return interval.coerceIn(REFUSED_TIMES)
+        }
+    }
+
     private fun countArrival(now: ComparableTimeMark) {
         if (now - periodAt >= RATE_PERIOD) {
             lastArrivals = if (now - periodAt < RATE_PERIOD * 2) arrivals else 0
