Learned limits: what each server takes well, from the answers of all instances

Cause: servers of one service differ in speed and some slow down before they are full. Registered slots don't tell, and at 0.4 answers a second an instance of a large fleet can't learn it from its own.

Change: homes learn a limit, a relative speed and a share of failures for each server (core/load: LimitLearner, QueueModel, RelativeSpeed, GroupLoad; no I/O). Instances report with ProofWanted, homes every 600 ms to the first home of their zone and that one to the first of all; Proof brings the views back, dated from before the question, used for 2 s, voided by a suspension. GroupServer.load is set from them. Statements carry their kind (route; commits apart) in LinkUrgency, so that like is compared with like. Placement orders servers by it; it is tested but ReaderChoice doesn't use it yet, so reads are placed as before.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -64,7 +64,7 @@
         private val arrivedAt: ComparableTimeMark
     ) {
         private val deadline = arrivedAt + route.statementTimeout
-        private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority, caller)
+        private val urgency = route.urgency(arrivedAt, caller)
         private val refusedBy = HashSet<GroupServer>()
         private var refusal = "no evidence of what the read must see"
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -47,7 +47,7 @@
             ?: return refused(StatementCode.BUSY, "service ${route.service} is gone")
         val deadline = context.time.markNow() + route.statementTimeout
         val urgency =
-            LinkUrgency(context.time.markNow() + route.targetLatency, route.priority, caller)
+            route.urgency(context.time.markNow(), caller)
         return Attempts(group, statement, trace, deadline, urgency).run()
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
@@ -32,7 +32,7 @@
     private val trace: StatementTrace
 ) {
     private val arrivedAt = context.time.markNow()
-    private val urgency = LinkUrgency(arrivedAt + route.targetLatency, route.priority, caller)
+    private val urgency = route.urgency(arrivedAt, caller)
 
     /** Opens a read-write transaction on the primary. */
     suspend fun openOnPrimary(): LinkLease? {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/ProofResponder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/fleet/ProofResponder.kt
@@ -23,6 +23,7 @@
     /** Returns the reply to [request]. */
     suspend fun answer(request: PeerMessage.ProofWanted): PeerMessage {
         val group = groups(request.service) ?: return PeerMessage.NoProof
+        request.load?.let(group::receiveLoad)
         if (inProgress >= MAX_REQUESTS_IN_PROGRESS) return PeerMessage.NoProof
         inProgress++
         try {
@@ -46,7 +47,8 @@
             end = certificate.end,
             floor = proof.floor,
             // Rounded up: a proof may look older than it is, but never newer.
-            ageUs = if (isLater) null else certificate.since.elapsedNow().inWholeMicroseconds + 1
+            ageUs = if (isLater) null else certificate.since.elapsedNow().inWholeMicroseconds + 1,
+            load = if (request.load == null) emptyList() else group.loadViews()
         )
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -13,9 +13,13 @@
 import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.OpenError
 import org.yuccawind.core.link.PooledLink
+import org.yuccawind.core.load.FailureShare
+import org.yuccawind.core.load.GroupLoad
+import org.yuccawind.core.load.LoadKind
 import org.yuccawind.core.load.ServerLoad
 import org.yuccawind.core.model.AvailabilityZone
 import org.yuccawind.core.model.LogPoint
+import org.yuccawind.core.statement.StatementCode
 
 /** Weight of a new sample in the moving average of answer times. */
 private const val ANSWER_WEIGHT = 0.2
@@ -42,7 +46,8 @@
     private val pool: LinkPool,
     private val time: TimeSource.WithComparableMarks,
     private val evidence: EvidenceStore,
-    private val zone: AvailabilityZone
+    private val zone: AvailabilityZone,
+    private val groupLoad: GroupLoad
 ) {
     /** Newest registration of the server. */
     var member: GroupMember = member
@@ -81,6 +86,8 @@
     /** True if a read skipped this server since its log position was last requested. */
     internal var needsPositionRefresh = false
 
+    private val ownFailures = FailureShare(time)
+
     private var busySince: ComparableTimeMark? = null
 
     /** Name of the server. */
@@ -89,17 +96,25 @@
     /** Number of links that are open or being opened. */
     val connections get() = pool.size
 
+    /** Number of callers waiting for a link. */
+    val waiting get() = pool.waiting
+
+    /** Expected time until a link is available. */
+    val linkWait get() = if (pool.hasIdle) Duration.ZERO else EXPECTED_LINK_WAIT
+
+    /** Cost of the way to the server, in time; zero in the zone of this instance. */
+    val distance get() = if (member.zone == zone) Duration.ZERO else CROSS_ZONE_COST
+
+    /** Share of the recent statements that failed or got no answer, here or at all instances. */
+    val failedShare get() = maxOf(ownFailures.value, load?.failedShare ?: 0.0)
+
     /** Number of links in use and of callers waiting for one. */
     val demand get() = pool.waiting + pool.inUse
 
     /** Returns the expected time until a statement sent now is answered. */
     fun expectedTime(): Duration {
-        val age = answeredAt?.elapsedNow() ?: HALF_WEIGHT_AGE
-        val ageWeight = HALF_WEIGHT_AGE / (HALF_WEIGHT_AGE + age)
-        val queue = 1 + inFlight + pool.waiting
-        val work = answerTime * ageWeight * queue / member.slots.coerceAtLeast(1)
-        val networkCost = if (member.zone == zone) Duration.ZERO else CROSS_ZONE_COST
-        return networkCost + if (pool.hasIdle) work else work + EXPECTED_LINK_WAIT
+        val work = ownWork(queue = 1 + inFlight + pool.waiting)
+        return distance + work + linkWait
     }
 
     /**
@@ -108,6 +123,7 @@
      */
     suspend fun acquire(timeout: Duration, urgency: LinkUrgency): Either<OpenError, PooledLink>? {
         val result = pool.acquire(timeout, urgency)
+        result?.onRight { it.kind = urgency.kind }
         result?.onLeft { if (it is OpenError.Unreachable) recordFailure() }
         return result
     }
@@ -122,16 +138,55 @@
     ): Either<LinkLost, List<LinkReply>> {
         val sentAt = time.markNow()
         if (inFlight++ == 0) busySince = sentAt
+        val isWork = commands.any(::usesSlot)
+        var isAnswered = false
         try {
             val result = link.exchange(commands)
+            isAnswered = result.isRight()
             result.fold({ recordFailure() }, { recordAnswer(it) })
-            if (result.isRight() && commands.any(::usesSlot)) recordAnswerTime(sentAt.elapsedNow())
+            if (isAnswered && isWork) recordAnswerTime(sentAt.elapsedNow())
+            if (isWork) result.onRight { recordWork(kindOf(link, commands), it, sentAt) }
             return result
         } finally {
+            if (isWork && !isAnswered) recordUnanswered(sentAt)
             if (--inFlight == 0) busySince = null
         }
     }
 
+    private fun kindOf(link: PooledLink, commands: List<LinkCommand>) =
+        if (commands.last() is LinkCommand.Commit) LoadKind.COMMIT else link.kind
+
+    private fun recordWork(kind: LoadKind, replies: List<LinkReply>, sentAt: ComparableTimeMark) {
+        // After the first error of a batch the server rejects the remaining commands.
+        when (replies.firstNotNullOfOrNull { it.refusal }?.code) {
+            null -> {
+                ownFailures.recordSuccess()
+                groupLoad.recordAnswer(name, kind, sentAt)
+            }
+
+            StatementCode.BUSY -> groupLoad.recordRefusal(name)
+
+            StatementCode.FAILED -> {
+                ownFailures.recordFailure()
+                groupLoad.recordFailure(name, sentAt)
+            }
+
+            else -> Unit
+        }
+    }
+
+    /** Records a statement whose connection was lost, or whose caller gave up. */
+    private fun recordUnanswered(sentAt: ComparableTimeMark) {
+        ownFailures.recordFailure()
+        groupLoad.recordFailure(name, sentAt)
+    }
+
+    private fun ownWork(queue: Int): Duration {
+        val age = answeredAt?.elapsedNow() ?: HALF_WEIGHT_AGE
+        val ageWeight = HALF_WEIGHT_AGE / (HALF_WEIGHT_AGE + age)
+        return answerTime * ageWeight * queue / member.slots.coerceAtLeast(1)
+    }
+
     /** Records that the server could not be reached or did not answer in time. */
     fun recordFailure() {
         isPaused = false
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ProofFinder.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ProofFinder.kt
@@ -21,7 +21,8 @@
     private val group: ServerGroup,
     private val context: GroupContext,
     private val evidence: LeadershipEvidence,
-    private val probe: LeaderProbe
+    private val probe: LeaderProbe,
+    private val loadExchange: LoadExchange
 ) {
     private var homeQuery: Deferred<HomeAnswer>? = null
 
@@ -77,6 +78,7 @@
 
     /** Accepts [proof] unless its server is not registered here yet. */
     private fun accept(proof: HomeAnswer.Proved): Boolean {
+        loadExchange.load.accept(proof.loads)
         val server = group.serverNamed(proof.server) ?: return false
         return evidence.accept(server, proof)
     }
@@ -84,7 +86,8 @@
     /** Asks the homes for a proof, or joins a request in progress. */
     private suspend fun requestFromHomes(since: ComparableTimeMark): HomeAnswer {
         val running = homeQuery?.takeIf { it.isActive } ?: context.scope.async {
-            context.homes.find(group.service, group.settings.maxConnections, since)
+            val report = loadExchange.takeReport()
+            context.homes.find(group.service, group.settings.maxConnections, since, report)
         }.also { homeQuery = it }
         return running.await()
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ServerGroup.kt
@@ -15,6 +15,8 @@
 import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.OpenError
 import org.yuccawind.core.link.PooledLink
+import org.yuccawind.core.load.LoadReport
+import org.yuccawind.core.load.ServerView
 import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.model.ServiceName
@@ -47,7 +49,8 @@
     private val byName = LinkedHashMap<BackendServerName, GroupServer>()
     private val evidence = LeadershipEvidence(service, context)
     private val probe = LeaderProbe(this, context)
-    private val proofs = ProofFinder(this, context, evidence, probe)
+    private val loadExchange = LoadExchange(this, context)
+    private val proofs = ProofFinder(this, context, evidence, probe, loadExchange)
     private val readerChoice = ReaderChoice(this, context, evidence)
     private val pauseCheck = PauseCheck(this, context)
     private var maintenance: Job? = null
@@ -119,6 +122,7 @@
             val known = byName[member.name]
             if (known == null) add(member) else known.member = member
         }
+        loadExchange.load.retain(byName.keys)
     }
 
     /**
@@ -164,6 +168,12 @@
     /** Returns the servers for a read that requires [point], the preferred one first. */
     fun readers(point: LogPoint): List<GroupServer> = readerChoice.readers(point)
 
+    /** Takes in what another instance saw of the servers' load. */
+    internal fun receiveLoad(report: LoadReport) = loadExchange.receive(report)
+
+    /** Returns what is known of the servers' load, for another instance. */
+    internal fun loadViews(): List<ServerView> = loadExchange.views()
+
     /** Returns the registered server named [name], or null. */
     internal fun serverNamed(name: BackendServerName): GroupServer? = byName[name]
 
@@ -193,6 +203,7 @@
                 }
             }
         }
+        loadExchange.maintain()
         readerChoice.refreshSkippedPositions()
         pauseCheck.poll()
         servers.forEach { it.trim() }
@@ -219,7 +230,14 @@
             open = { open(member.name, it) }
         )
         byName[member.name] =
-            GroupServer(member, pool, context.time, evidence.evidenceStore, context.fleet.zone)
+            GroupServer(
+                member,
+                pool,
+                context.time,
+                evidence.evidenceStore,
+                context.fleet.zone,
+                loadExchange.load
+            )
         context.log.record(
             "server_added",
             "service" to service,
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
+import org.yuccawind.core.load.LoadKind
 import org.yuccawind.core.workspace.Caller
 import org.yuccawind.core.workspace.WorkspaceName
 
@@ -17,11 +18,13 @@
  *   precedence over all clients
  * @property priority priority of the route; 0 is the highest
  * @property caller who sends the operation; only a link of its workspace may run it
+ * @property kind kind of the statements, whose answer times are compared with each other
  */
 data class LinkUrgency(
     val goal: ComparableTimeMark?,
     val priority: Int,
-    val caller: Caller = Caller.Anonymous
+    val caller: Caller = Caller.Anonymous,
+    val kind: LoadKind = LoadKind.OTHER
 ) {
     companion object {
         /** For probes: they take precedence because routing depends on their results. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
@@ -4,6 +4,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.TimeSource
 import org.yuccawind.core.group.GroupMember
+import org.yuccawind.core.load.LoadKind
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.statement.PreparedShape
 import org.yuccawind.core.statement.SessionState
@@ -34,6 +35,9 @@
     var position: LogPoint? = link.initialPosition
         private set
 
+    /** Kind of the statements that the link was last acquired for. */
+    internal var kind: LoadKind = LoadKind.OTHER
+
     /** Transaction state of the link after the latest reply. */
     var state: SessionState = SessionState.IDLE
         private set
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/peer/PeerMessage.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/peer/PeerMessage.kt
@@ -3,6 +3,8 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.yuccawind.core.config.ServiceRecord
+import org.yuccawind.core.load.LoadReport
+import org.yuccawind.core.load.ServerView
 import org.yuccawind.core.model.AvailabilityZone
 import org.yuccawind.core.model.BackendServerName
 import org.yuccawind.core.model.InstanceId
@@ -151,10 +153,15 @@
      * @property service the service
      * @property maxAgeUs maximum age of the proof when the request arrives, in microseconds; 0
      *   requests a proof begun after the arrival
+     * @property load what the sender saw of the service's servers; null if nothing
      */
     @Serializable
     @SerialName("proof-wanted")
-    data class ProofWanted(val service: ServiceName, val maxAgeUs: Long) : PeerMessage
+    data class ProofWanted(
+        val service: ServiceName,
+        val maxAgeUs: Long,
+        val load: LoadReport? = null
+    ) : PeerMessage
 
     /**
      * Proof that [server] was the primary.
@@ -164,6 +171,7 @@
      * @property floor end of the log that it had received when it was promoted
      * @property ageUs age of the proof when the reply was sent, in microseconds; null when the
      *   proof was begun after the request arrived
+     * @property load load of the service's servers, as far as the sender knows it
      */
     @Serializable
     @SerialName("proof")
@@ -171,7 +179,8 @@
         val server: BackendServerName,
         val end: LogPoint,
         val floor: LogPoint,
-        val ageUs: Long?
+        val ageUs: Long?,
+        val load: List<ServerView> = emptyList()
     ) : PeerMessage
 
     /** Reply to [ProofWanted]: no sufficiently recent proof is available. */
