Reads are placed by the learned limits

Cause: reads went by each instance's own figures and registered slots only. Change: ReaderChoice uses Placement where the load of all candidates is known.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ReaderChoice.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/ReaderChoice.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlinx.coroutines.launch
+import org.yuccawind.core.load.Placement
 import org.yuccawind.core.model.LogPoint
 
 /** Chooses the servers of a group for reads. Confined to the event loop of its context. */
@@ -11,7 +12,7 @@
     private val evidence: LeadershipEvidence
 ) {
     /**
-     * Returns the servers for a read that requires [point], by expected answer time, servers with
+     * Returns the servers for a read that requires [point], the preferred one first, servers with
      * failures last. Omits servers that are expected to lag behind the point and servers that are
      * shutting down, unless no other is left.
      *
@@ -23,9 +24,25 @@
         val (behind, ready) = remaining.partition { isBehind(it, point) }
         behind.forEach { it.needsPositionRefresh = true }
         val hasResponsive = ready.any { it.failingSince == null }
-        return (if (hasResponsive) ready else remaining).sortedWith(
-            compareBy({ it.failingSince != null }, { it.expectedTime() })
-        )
+        val (responsive, failing) = (if (hasResponsive) ready else remaining)
+            .partition { it.failingSince == null }
+        return order(responsive) + order(failing)
+    }
+
+    private fun order(servers: List<GroupServer>): List<GroupServer> {
+        val candidates = servers.mapNotNull { server ->
+            val load = server.load ?: return@mapNotNull null
+            Placement.Candidate(
+                server,
+                load,
+                server.failedShare,
+                ownDemand = server.inFlight + server.waiting,
+                server.distance,
+                server.linkWait
+            )
+        }
+        if (candidates.size < servers.size) return servers.sortedBy { it.expectedTime() }
+        return Placement.order(candidates, context.random)
     }
 
     private fun isBehind(server: GroupServer, point: LogPoint): Boolean {
