--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -14,7 +14,6 @@
 import org.yuccawind.core.group.ReadRequirement
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
-import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.route.Route
 import org.yuccawind.core.statement.SessionState
@@ -65,7 +64,7 @@
         private val trace: StatementTrace,
         private val demand: StatementDemand
     ) {
-        private val urgency = LinkUrgency(demand.goal, demand.priority, caller)
+        private val urgency = route.urgency(demand.arrivedAt, caller)
         private val refusedBy = HashSet<GroupServer>()
         private val pause = RepeatPause(group.repeats, demand)
         private var refusal = "no evidence of what the read must see"
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -49,7 +49,7 @@
         val now = context.time.markNow()
         val demand =
             StatementDemand(now, now + route.statementTimeout, route.targetLatency, route.priority)
-        val urgency = LinkUrgency(demand.goal, route.priority, caller)
+        val urgency = route.urgency(now, caller)
         return Attempts(group, statement, trace, demand, urgency).run()
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
@@ -10,7 +10,6 @@
 import org.yuccawind.core.group.GroupServer
 import org.yuccawind.core.group.ServerGroup
 import org.yuccawind.core.link.LinkCommand
-import org.yuccawind.core.link.LinkUrgency
 import org.yuccawind.core.link.PooledLink
 import org.yuccawind.core.route.Freshness
 import org.yuccawind.core.route.Route
@@ -37,7 +36,7 @@
         targetLatency = route.targetLatency,
         priority = route.priority
     )
-    private val urgency = LinkUrgency(demand.goal, route.priority, caller)
+    private val urgency = route.urgency(demand.arrivedAt, caller)
     private val pause = RepeatPause(group.repeats, demand)
 
     /** Opens a read-write transaction on the primary. */
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupContext.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupContext.kt
@@ -21,6 +21,8 @@
  * @property fleet view of the live instances
  * @property homes client for proofs held by the home instances of a service
  * @property random source of jitter, so that instances do not act at the same moment
+ * @property learnsServerLimits true if the instances learn how much each server takes well, and
+ *   place reads by it
  */
 class GroupContext(
     val scope: CoroutineScope,
@@ -30,5 +32,6 @@
     val suspensions: SuspensionDetector,
     val fleet: FleetView,
     val homes: HomeProofClient,
-    val random: Random = Random
+    val random: Random = Random,
+    val learnsServerLimits: Boolean = false
 )
