--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/admission/PrimaryAdmission.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/admission/PrimaryAdmission.kt
@@ -16,8 +16,8 @@
  */
 internal const val PARTS_OF_GOAL = 4
 
-/** Time that a first search for the primary takes: a question to a home, or a new connection. */
-private val FIRST_SEARCH_TIME = 100.milliseconds
+/** Parts of a statement's time in the same case: the wait here, and an attempt elsewhere. */
+private const val PARTS_OF_TIME = 2
 
 /** What an instance knows about the primary of a service. */
 sealed interface PrimaryBelief {
@@ -58,7 +58,8 @@
     }
 
     private fun untilFirstSeen(demand: StatementDemand, timeLeft: Duration): Admission {
-        val patience = maxOf(demand.targetLatency / PARTS_OF_GOAL, FIRST_SEARCH_TIME)
+        val patience =
+            maxOf(demand.targetLatency / PARTS_OF_GOAL, demand.timeout / PARTS_OF_TIME)
         val limit = minOf(patience - demand.waited, timeLeft)
         if (limit <= Duration.ZERO) return Admission.Refuse(RefusalReason.NO_PRIMARY_YET)
         return Admission.Wait(limit)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/admission/RepeatBudget.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/admission/RepeatBudget.kt
@@ -44,14 +44,15 @@
     fun recordSuccess() = add(REPEATS_PER_SUCCESS)
 
     /**
-     * Decides whether a statement that was refused [refusals] times in a row is sent again, and
-     * after which time.
+     * Decides whether a statement is tried again after [refusals] tries in a row without success,
+     * and after which time. The budget counts only tries after which [isServerBusy] is true: a
+     * server refused the statement for want of room.
      */
-    fun decide(refusals: Int, demand: StatementDemand): Admission {
+    fun decide(refusals: Int, demand: StatementDemand, isServerBusy: Boolean = true): Admission {
         val pause = delayAfter(refusals)
         return when {
             pause >= demand.timeLeft -> Admission.Refuse(RefusalReason.OUT_OF_TIME)
-            !tryRepeat() -> Admission.Refuse(RefusalReason.SERVERS_BUSY)
+            isServerBusy && !tryRepeat() -> Admission.Refuse(RefusalReason.SERVERS_BUSY)
             else -> Admission.Wait(pause)
         }
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/admission/StatementDemand.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/admission/StatementDemand.kt
@@ -20,6 +20,9 @@
     /** Time by which it should be answered. */
     val goal: ComparableTimeMark get() = arrivedAt + targetLatency
 
+    /** Time from the arrival to the deadline. */
+    val timeout: Duration get() = deadline - arrivedAt
+
     /** Time since the arrival. */
     val waited: Duration get() = arrivedAt.elapsedNow()
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/CallResult.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/CallResult.kt
@@ -37,6 +37,7 @@
     commands: List<LinkCommand>,
     limit: Duration
 ): CallResult {
+    if (limit <= Duration.ZERO) return CallResult.Lost("no time left", wasSent = false)
     val result = withTimeoutOrNull(limit) { exchange(link, commands) }
     if (result == null) {
         recordFailure()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -11,6 +11,9 @@
 import org.yuccawind.core.workspace.AccessKey
 import org.yuccawind.core.workspace.Caller
 
+/** Number of characters of a client's name that an error repeats. */
+private const val MAX_NAME_CHARS = 64
+
 /**
  * The session of one client. Session variables and prepared statement names are kept here and
  * applied to the connection that runs the next statement, so that many sessions share few
@@ -183,7 +186,10 @@
 
     private fun noStatement(name: String): StatementAnswer {
         transaction?.fail()
-        return refused(StatementCode.NO_SUCH_STATEMENT, "no prepared statement is named $name")
+        return refused(
+            StatementCode.NO_SUCH_STATEMENT,
+            "no prepared statement is named ${name.take(MAX_NAME_CHARS)}"
+        )
     }
 
     private fun noDatabase() =
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSessionState.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSessionState.kt
@@ -4,6 +4,9 @@
 import org.yuccawind.core.model.LogPoint
 import org.yuccawind.core.statement.PreparedShape
 
+/** Memory of an entry besides its characters: map node, strings and their arrays, in bytes. */
+internal const val ENTRY_BYTES = 200
+
 /** State of one client session that is independent of the connections it uses. */
 internal class ClientSessionState(private val limit: SessionStateLimit) {
     private val prepared = HashMap<String, PreparedShape>()
@@ -41,12 +44,13 @@
     /** Removes a prepared statement. Returns false if none has this name. */
     fun deallocate(name: String): Boolean {
         val shape = prepared.remove(name) ?: return false
-        bytes -= name.length + shape.body.length
+        bytes -= name.length + shape.body.length + ENTRY_BYTES
         return true
     }
 
     private fun tryReplace(name: String, old: String?, new: String): Boolean {
-        val added = if (old == null) name.length + new.length else new.length - old.length
+        val added =
+            if (old == null) name.length + new.length + ENTRY_BYTES else new.length - old.length
         val names = prepared.size + variables.values.size
         if (old == null && names >= limit.names) return false
         if (added > 0 && bytes + added > limit.bytes) return false
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientTransaction.kt
@@ -170,6 +170,7 @@
         val reply = result.last
         val code = reply.refusal?.code
         if (code == StatementCode.READ_ONLY) group?.recordNotLeading(lease.server)
+        if (reply.isDone) group?.repeats?.recordSuccess()
         if (reply.state != SessionState.IN_TRANSACTION) fail()
         return StatementAnswer(reply.rows, reply.result, state, reply.position)
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/RouteUrgency.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/RouteUrgency.kt
@@ -8,4 +8,4 @@
 
 /** Returns the urgency of an operation of [caller] on this route that arrived at [arrivedAt]. */
 internal fun Route.urgency(arrivedAt: ComparableTimeMark, caller: Caller) =
-    LinkUrgency(arrivedAt + targetLatency, priority, caller, LoadKind(database))
+    LinkUrgency(arrivedAt + targetLatency, priority, caller, LoadKind(database), arrivedAt)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -82,13 +82,14 @@
                     continue
                 }
                 ServerAdmission.check(servers.map(::roomAt), demand).bind()
-                val timeout = if (servers.size == 1) remaining() else ACQUIRE_TIMEOUT
+                val latest = remaining() - server.answerTime
+                val timeout = if (servers.size == 1) latest else minOf(latest, ACQUIRE_TIMEOUT)
                 attemptUntilSilent(server, required, timeout)?.let { return it }
                 refusedBy += server
             }
         }
 
-        private fun roomAt(server: GroupServer) = server.roomFor(demand.priority)
+        private fun roomAt(server: GroupServer) = server.roomFor(urgency)
 
         private fun refuse(decision: Admission.Refuse): StatementAnswer {
             trace.refusal = decision.reason
@@ -182,6 +183,7 @@
             val code = reply.refusal?.code
             if (code != null && isRefusalBeforeRun(code)) {
                 refusal = "${server.name} refused with $code"
+                pause.isServerBusy = true
                 return null
             }
             if (reply.isDone) group.repeats.recordSuccess()
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -68,7 +68,7 @@
         private suspend fun Raise<Admission.Refuse>.runUntilAnswered(): StatementAnswer {
             while (true) {
                 val server = group.awaitLeader(demand).bind()
-                ServerAdmission.check(listOf(server.roomFor(demand.priority)), demand).bind()
+                ServerAdmission.check(listOf(server.roomFor(urgency)), demand).bind()
                 attempt(server)?.let { return it }
                 if (refusal.first == StatementCode.BUSY) pause.await().bind()
             }
@@ -78,7 +78,8 @@
             trace.server = server.name
             trace.attempts++
             val startedAt = context.time.markNow()
-            val link = server.acquire(remaining(), urgency)?.getOrNull()
+            // A write that is sent too late would end with an unknown outcome.
+            val link = server.acquire(remaining() - server.answerTime, urgency)?.getOrNull()
             trace.linkWait += startedAt.elapsedNow()
             if (link == null) {
                 refusal = StatementCode.BUSY to "no connection to ${server.name}"
@@ -99,7 +100,7 @@
         private fun remaining() = demand.timeLeft
 
         private suspend fun send(server: GroupServer, link: PooledLink): StatementAnswer? {
-            if (!isResponsive(server, link)) return null
+            if (!isResponsive(server, link) || remaining() <= Duration.ZERO) return null
             val sentAt = context.time.markNow()
             val commands =
                 link.commandsToApply(sessionState.variables) + statement.commandsFor(link)
@@ -140,6 +141,7 @@
             if (code == null || !isRefusalBeforeRun(code)) {
                 return StatementAnswer(reply.rows, reply.result, SessionState.IDLE, position)
             }
+            if (code == StatementCode.BUSY) pause.isServerBusy = true
             refusal = code to "${server.name} refused with $code"
             return null
         }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/TransactionOpener.kt
@@ -85,7 +85,7 @@
     }
 
     private fun Raise<Admission.Refuse>.checkRoom(servers: List<GroupServer>) =
-        ServerAdmission.check(servers.map { it.roomFor(demand.priority) }, demand).bind()
+        ServerAdmission.check(servers.map { it.roomFor(urgency) }, demand).bind()
 
     private fun remaining() = demand.timeLeft
 
@@ -109,6 +109,7 @@
         val reply = (result as? CallResult.Answered)?.last
         if (reply == null || reply.state != SessionState.IN_TRANSACTION) {
             if (reply?.refusal?.code == StatementCode.READ_ONLY) group.recordNotLeading(server)
+            if (reply?.refusal?.code == StatementCode.BUSY) pause.isServerBusy = true
             server.release(link)
             return null
         }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/group/GroupServer.kt
@@ -115,10 +115,10 @@
     /** Number of links in use and of callers waiting for one. */
     val demand get() = pool.waiting + pool.inUse
 
-    /** Room at the server for a statement with [priority], as far as this instance knows. */
-    fun roomFor(priority: Int): ServerRoom {
+    /** Room at the server for a statement with [urgency], as far as this instance knows. */
+    fun roomFor(urgency: LinkUrgency): ServerRoom {
         val known = load
-        val ahead = pool.waitingUpTo(priority).toDouble()
+        val ahead = pool.waitingBefore(urgency).toDouble()
         return ServerRoom(
             slots = known?.limit ?: member.slots.toDouble(),
             inProgress = maxOf(known?.inProgress ?: 0.0, inFlight.toDouble()),
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkPool.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.right
 import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -52,6 +53,7 @@
     private val ownBackoff = OpenBackoff(time, random)
     private val workspaceBackoff = OpenBackoff(time, random)
     private var retry: Job? = null
+    private var retryAt: ComparableTimeMark? = null
     private var isClosed = false
 
     private val ownSize get() = (heldBy[null] ?: 0) + resting.own + (openingBy[null] ?: 0)
@@ -65,8 +67,8 @@
     /** Number of callers waiting for a link. */
     val waiting get() = waiters.size
 
-    /** Number of callers waiting for a link whose priority is [priority] or higher. */
-    fun waitingUpTo(priority: Int) = waiters.sizeUpTo(priority)
+    /** Number of waiting callers that may be served before a new one with [urgency]. */
+    fun waitingBefore(urgency: LinkUrgency) = waiters.sizeBefore(urgency)
 
     /** True when a link rests that some caller can acquire without waiting. */
     val hasIdle get() = resting.size > 0
@@ -85,6 +87,7 @@
             it.recordAcquired()
             return it.right()
         }
+        if (timeout <= Duration.ZERO) return null
         val waiter = waiters.add(urgency)
         openForWaiters()
         var result: Either<OpenError, PooledLink>? = null
@@ -128,8 +131,8 @@
         val current = budget()
         val isLastPlace = size + 1 >= current.maxConnections ||
             size + 1 - ownSize >= current.workspaceLimit
-        return isLastPlace && !workspaceBackoff.isActive &&
-            waiters.mustYield(link.workspace, openingBy)
+        return isLastPlace &&
+            waiters.mustYield(link.workspace, openingBy) { !backoffOf(it).isActive }
     }
 
     /** Closes links that have been idle for longer than the budget allows. */
@@ -257,9 +260,12 @@
 
     /** Tries again after the backoff, when no other event may do so. */
     private fun scheduleRetry() {
-        if (retry?.isActive == true) return
         val wait = listOf(ownBackoff, workspaceBackoff).filter { it.isActive }
             .minOfOrNull { it.remaining } ?: return
+        val dueAt = time.markNow() + wait
+        if (retry?.isActive == true && retryAt?.let { it <= dueAt } == true) return
+        retry?.cancel()
+        retryAt = dueAt
         retry = scope.launch {
             delay(wait + 1.milliseconds)
             retry = null
@@ -270,8 +276,11 @@
     private fun launchOpen(workspace: WorkspaceName?) {
         openingBy.merge(workspace, 1, Int::plus)
         scope.launch {
-            val result = open(workspace)
-            openingBy.merge(workspace, -1, Int::plus)
+            val result = try {
+                open(workspace)
+            } finally {
+                openingBy.merge(workspace, -1, Int::plus)
+            }
             result.fold({ onOpenFailed(workspace, it) }, ::onOpened)
         }
     }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/LinkQueue.kt
@@ -20,13 +20,15 @@
  *   precedence over all clients
  * @property priority priority of the route; 0 is the highest
  * @property caller who sends the operation; only a link of its workspace may run it
+ * @property arrivedAt time at which the operation arrived; null for the time of its first wait
  * @property kind kind of the statements, whose answer times are compared with each other
  */
 data class LinkUrgency(
     val goal: ComparableTimeMark?,
     val priority: Int,
     val caller: Caller = Caller.Anonymous,
-    val kind: LoadKind = LoadKind.OTHER
+    val kind: LoadKind = LoadKind.OTHER,
+    val arrivedAt: ComparableTimeMark? = null
 ) {
     companion object {
         /** For probes: they take precedence because routing depends on their results. */
@@ -68,7 +70,7 @@
 ) {
     private val byWorkspace = HashMap<WorkspaceName?, WorkspaceQueue>()
     private val ranked = TreeMap<QueueRank, WorkspaceQueue>()
-    private val byArrival = TreeSet<LinkWaiter>(compareBy { it.number })
+    private val byArrival = TreeSet(LinkWaiter.BY_ARRIVAL)
     private val sizes = TreeMap<Int, Int>()
     private var added = 0L
     private var handOvers = 0L
@@ -81,9 +83,18 @@
     /** Number of waiting callers whose priority is [priority] or higher. */
     fun sizeUpTo(priority: Int) = sizes.headMap(priority, true).values.sum()
 
+    /**
+     * Number of waiting callers that may be served before a new one with [urgency]. Workspaces
+     * share the server, so of another one no more callers go first than of its own.
+     */
+    fun sizeBefore(urgency: LinkUrgency): Int {
+        val own = byWorkspace[urgency.caller.workspace]?.size ?: 0
+        return minOf(sizeUpTo(urgency.priority), (own + 1) * ranked.size)
+    }
+
     /** Adds a waiting caller. */
     fun add(urgency: LinkUrgency): LinkWaiter {
-        val waiter = LinkWaiter(urgency, ++added, time.markNow())
+        val waiter = LinkWaiter(urgency, ++added, urgency.arrivedAt ?: time.markNow())
         val queue = queueOf(urgency.caller.workspace)
         // Otherwise a workspace could save up its share while it sends nothing.
         if (queue.size == 0) queue.work = maxOf(queue.work, servedWork)
@@ -177,14 +188,20 @@
      * has no connection in [opening]: one of higher rank, or one whose workspace has had clearly
      * less of the server. To be asked only when no further connection can be opened.
      */
-    fun mustYield(workspace: WorkspaceName?, opening: Map<WorkspaceName?, Int>): Boolean {
-        val next = firstWithoutOpening(opening)?.urgency?.caller?.workspace
-        val other = byWorkspace[next]?.rank
-        if (other == null || next == workspace) return false
+    fun mustYield(
+        workspace: WorkspaceName?,
+        opening: Map<WorkspaceName?, Int>,
+        accepts: (WorkspaceName?) -> Boolean = { true }
+    ): Boolean {
+        val next = firstWithoutOpening(opening, accepts) ?: return false
+        val target = next.urgency.caller.workspace
+        val other = byWorkspace[target]?.rank
+        if (other == null || target == workspace) return false
+        val isTurn = isTurnOfOldest() && next === byArrival.first() && (opening[target] ?: 0) == 0
         val own = byWorkspace[workspace]?.rank
         val hasLead = own != null && !own.isAbove(other) &&
             own.work - other.work > answerTime() * MAX_WORK_LEAD
-        return own == null || isTurnOfOldest() || other.isAbove(own) || hasLead
+        return own == null || isTurn || other.isAbove(own) || hasLead
     }
 
     private fun queueOf(workspace: WorkspaceName?) =
@@ -248,7 +265,7 @@
  *
  * @property urgency its scheduling parameters
  * @property number order of arrival
- * @property since time of its arrival
+ * @property since time of its arrival, also if it has waited before
  */
 internal class LinkWaiter(
     val urgency: LinkUrgency,
@@ -260,4 +277,9 @@
 
     /** Delivers the outcome. Returns false if the caller has stopped waiting. */
     fun complete(outcome: Either<OpenError, PooledLink>) = result.complete(outcome)
+
+    companion object {
+        /** Order of arrival. */
+        val BY_ARRIVAL: Comparator<LinkWaiter> = compareBy({ it.since }, { it.number })
+    }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/WorkspaceQueue.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/WorkspaceQueue.kt
@@ -18,7 +18,7 @@
     private val urgent = LinkedHashSet<LinkWaiter>()
     private val inTime = TreeMap<Int, TreeSet<LinkWaiter>>()
     private val late = TreeSet<LinkWaiter>(compareBy { it.number })
-    private val byArrival = TreeSet<LinkWaiter>(compareBy { it.number })
+    private val byArrival = TreeSet(LinkWaiter.BY_ARRIVAL)
 
     /** Time for which the workspace has held links to the server, relative to the others. */
     var work = Duration.ZERO
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/FleetLimiter.kt
@@ -1,5 +1,6 @@
 package org.yuccawind.core.workspace.limit
 
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -49,7 +50,8 @@
     /** Answers another instance's request for operations. */
     fun answer(message: PeerMessage.OperationsWanted): PeerMessage {
         val workspace = WorkspaceName(message.workspace)
-        if (!peers.isListed(message.instance) || message.count <= 0) {
+        // An instance that is not listed yet may ask: what is granted leaves the bucket here.
+        if (message.count <= 0) {
             log.record(
                 "operations_refused",
                 "instance" to message.instance,
@@ -69,18 +71,21 @@
         desks.values.forEach { it.purse.onSuspension() }
     }
 
-    /** Asks the keeper for [count] operations. Returns how many it granted. */
-    private suspend fun request(workspace: WorkspaceName, count: Int): Int {
+    /** Asks the keeper for [count] operations, and another one if it doesn't grant any. */
+    private suspend fun request(workspace: WorkspaceName, count: Int): Grant {
         val shard = ShareTerms.shardOf(workspace)
-        var asked = collector.keeperOf(shard) ?: return 0
+        var grant = Grant(count = 0, time.markNow(), isAnswered = false)
+        var asked = collector.keeperOf(shard) ?: return grant
         repeat(MAX_KEEPERS_ASKED) {
+            val sentAt = time.markNow()
             val reply = requestFrom(asked, workspace, count)
-            if (reply != null && reply.count > 0) return checked(reply.count, count, asked)
+            grant = Grant(checked(reply?.count ?: 0, count, asked), sentAt, reply != null)
+            if (grant.count > 0) return grant
             val next = if (reply == null) collector.keeperOf(shard) else reply.keeper
-            if (next == null || next == asked || !peers.isListed(next)) return 0
+            if (next == null || next == asked || !peers.isListed(next)) return grant
             asked = next
         }
-        return 0
+        return grant
     }
 
     private suspend fun requestFrom(
@@ -101,6 +106,15 @@
         return 0
     }
 
+    /**
+     * Reply to a request for operations.
+     *
+     * @property count number of operations granted
+     * @property sentAt time of the request, from which the grant is valid
+     * @property isAnswered false if the keeper gave no reply
+     */
+    private class Grant(val count: Int, val sentAt: ComparableTimeMark, val isAnswered: Boolean)
+
     /** Operations of one workspace that wait for its keeper. */
     private inner class Desk(private val workspace: WorkspaceName) {
         val purse = OperationPurse(time.markNow())
@@ -119,7 +133,11 @@
         private suspend fun askForAll() {
             isAsking = true
             try {
-                while (waiting.isNotEmpty()) askForWaiting()
+                do {
+                    askForWaiting()
+                } while (
+                    waiting.isNotEmpty() && !purse.isRefused(time.markNow())
+                )
             } finally {
                 isAsking = false
                 waiting.forEach { it.complete(false) }
@@ -131,12 +149,12 @@
             val round = waiting
             waiting = ArrayDeque()
             try {
-                val sentAt = time.markNow()
-                val granted = request(workspace, purse.wanted(round.size))
+                val grant = request(workspace, purse.wanted(round.size))
                 checkSuspension()
-                val usable = if (sentAt < resumedAt) 0 else granted
+                val usable = if (grant.sentAt < resumedAt) 0 else grant.count
+                val pause = if (grant.isAnswered) refusedFor else Duration.ZERO
                 val started =
-                    purse.onGrant(usable, round.size, sentAt, time.markNow(), refusedFor)
+                    purse.onGrant(usable, round.size, grant.sentAt, time.markNow(), pause)
                 repeat(started) { round.removeFirst().complete(true) }
             } finally {
                 round.forEach { it.complete(false) }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/HeldShares.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/HeldShares.kt
@@ -24,6 +24,12 @@
     var held = 0.0
         private set
 
+    /** Number of times that [held] fell. */
+    var falls = 0L
+        private set
+
+    private val divisor get() = maxOf(fleetSize, shares.size)
+
     /** Number of instances whose share is held. */
     val count get() = shares.size
 
@@ -31,7 +37,7 @@
     fun advance(now: ComparableTimeMark) {
         if (now > countedTo) {
             val seconds = shares.values.sumOf { (minOf(now, it.until) - countedTo).inSeconds() }
-            integral += seconds / fleetSize
+            integral += seconds / divisor
             countedTo = now
         }
         if (shares.values.removeIf { it.until <= now }) update()
@@ -74,8 +80,11 @@
     }
 
     private fun update() {
-        val next = shares.size.toDouble() / maxOf(fleetSize, shares.size)
-        if (next < held) fellAt = integral
+        val next = shares.size.toDouble() / divisor
+        if (next < held) {
+            fellAt = integral
+            falls++
+        }
         held = next
     }
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/LimitPeers.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/LimitPeers.kt
@@ -41,6 +41,9 @@
     /** Returns true if [name] didn't reply of late. */
     fun isSilent(name: String) = silences[name]?.let { !it.until.hasPassedNow() } == true
 
+    /** Returns true if [name] is listed and replied to the last call, if there was one. */
+    fun answers(name: String) = isListed(name) && name !in silences
+
     /** Returns the instance that keeps [shard] if none does yet. */
     fun firstFor(shard: Int): String? {
         if (orderedFor !== fleet.instances) {
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/OperationPurse.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/OperationPurse.kt
@@ -34,11 +34,14 @@
         if (now >= spareUntil) spare = 0
         return when {
             spare > 0 -> true.also { spare-- }
-            now < refusedUntil -> false
+            isRefused(now) -> false
             else -> null
         }
     }
 
+    /** True while the keeper is not asked because it refused. */
+    fun isRefused(now: ComparableTimeMark) = now < refusedUntil
+
     /** Number of operations to request for [waiting] ones. */
     fun wanted(waiting: Int): Int {
         val expected = lastArrivals * ShareTerms.GRANT_TTL.toDouble(DurationUnit.SECONDS)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareCollector.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareCollector.kt
@@ -56,13 +56,13 @@
     /** True if the configuration limits any workspace. */
     val isNeeded get() = workspaces().byName.values.any { it.limit != null }
 
-    /** Share of the limits that this instance may grant, by shard. */
-    val held: List<Double> get() = keepers.map { it.held }
+    /** Share of the limits that this instance might grant, summed over time, by shard. */
+    val shareSeconds: List<Double> get() = keepers.map { it.shareSeconds }
 
     /** Sets the fleet's size known from before this process. Nothing is granted until then. */
     fun onStoredSize(size: Int) {
         storedSize = size
-        fleetSize = maxOf(fleetSize, size)
+        raiseSize(size)
     }
 
     /** Collects shares until cancelled. */
@@ -159,7 +159,7 @@
         val keeper = keepers[shard]
         val isFirst = peers.firstFor(shard) == peers.self
         if (isFirst && mayCollect() && own.keeperOf(shard, now).isSelfOrNone()) keeper.activate(now)
-        if (keeper.mustStop(now, isFirst, peers::isSilent)) stop(shard, "rival ${keeper.rival}")
+        if (keeper.mustStop(now, isFirst, peers::answers)) stop(shard, "rival ${keeper.rival}")
         if (keeper.isRoundDue(now)) collect(shard)
     }
 
@@ -169,9 +169,8 @@
 
     private fun collect(shard: Int) {
         val keeper = keepers[shard]
-        fleetSize = maxOf(fleetSize, peers.fleet.size)
+        raiseSize(peers.fleet.size)
         val now = time.markNow()
-        keeper.onFleetSize(fleetSize, now)
         keeper.onReply(peers.self, own.promise(shard, peers.self, now), now, now)
         peers.others.filter { !peers.isSilent(it) }.forEach { scope.launch { request(shard, it) } }
     }
@@ -184,9 +183,9 @@
         if (sentAt < resumedAt) return
         val isUsed = when (reply) {
             is PeerMessage.ShareGiven -> {
-                onSize(reply.fleetSize, member)
+                // A share of another size than this one's must not be added to them.
+                if (!onSize(reply.fleetSize, member)) return
                 val given = ShareReply.Given(reply.serial)
-                keepers[shard].onFleetSize(fleetSize, time.markNow())
                 keepers[shard].onReply(member, given, sentAt, time.markNow())
             }
 
@@ -198,27 +197,41 @@
             else -> false
         }
         if (!isUsed) log.record("share_reply_ignored", "instance" to member, "shard" to shard)
+        // An active keeper may hold an earlier promise of this instance, which this would end.
+        if (reply is PeerMessage.ShareGiven && !keepers[shard].isActive) {
+            giveBack(shard, member, reply.serial)
+        }
     }
 
     private fun stop(shard: Int, reason: String) {
         log.record("share_keeper_stopped", "shard" to shard, "reason" to reason)
         val now = time.markNow()
-        keepers[shard].stop(now).forEach { (member, serial) ->
-            if (member == peers.self) {
-                own.release(shard, peers.self, serial)
-            } else {
-                val message = PeerMessage.ShareReleased(peers.self, shard, serial)
-                scope.launch { peers.call(member, message, SHARE_TIMEOUT) }
-            }
+        keepers[shard].stop(now).forEach { (member, serial) -> giveBack(shard, member, serial) }
+    }
+
+    private fun giveBack(shard: Int, member: String, serial: Long) {
+        if (member == peers.self) {
+            own.release(shard, peers.self, serial)
+        } else {
+            val message = PeerMessage.ShareReleased(peers.self, shard, serial)
+            scope.launch { peers.call(member, message, SHARE_TIMEOUT) }
         }
     }
 
-    private fun onSize(size: Int, from: String) {
-        if (size <= fleetSize) return
+    /** Takes in another instance's count of the fleet. Returns false if it is refused. */
+    private fun onSize(size: Int, from: String): Boolean {
         if (size > maxOf(peers.fleet.size, fleetSize) * MAX_SIZE_FACTOR) {
             log.record("fleet_size_refused", "instance" to from, "size" to size)
-            return
+            return false
         }
+        raiseSize(size)
+        return true
+    }
+
+    private fun raiseSize(size: Int) {
+        if (size <= fleetSize) return
         fleetSize = size
+        val now = time.markNow()
+        keepers.forEach { it.onFleetSize(size, now) }
     }
 }
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareKeeper.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/workspace/limit/ShareKeeper.kt
@@ -53,6 +53,9 @@
     /** Part of the limits that this keeper may grant, 0 to 1. */
     val held get() = shares.held
 
+    /** Integral of [held] over time, in share seconds. */
+    val shareSeconds get() = shares.integral
+
     /** Begins to collect shares, unless this instance yielded to another keeper just now. */
     fun activate(now: ComparableTimeMark) {
         if (isActive || now < inactiveUntil) return
@@ -99,7 +102,10 @@
                 true
             }
 
-            ShareReply.NotYet -> holders.remove(member) == null
+            ShareReply.NotYet -> {
+                holders.remove(member)
+                true
+            }
         }
     }
 
@@ -107,15 +113,13 @@
      * Returns true if this keeper must stop: another one that answers holds more shares, or this
      * one isn't asked and [isFirst] is false.
      */
-    fun mustStop(
-        now: ComparableTimeMark,
-        isFirst: Boolean,
-        isSilent: (String) -> Boolean
-    ): Boolean {
+    fun mustStop(now: ComparableTimeMark, isFirst: Boolean, answers: (String) -> Boolean): Boolean {
         if (!isActive) return false
         val strongest = holders.values.groupingBy { it }.eachCount()
-            .filterKeys { !isSilent(it) }
-            .maxWithOrNull(compareBy<Map.Entry<String, Int>> { it.value }.thenBy { it.key })
+            .filterKeys(answers)
+            .maxWithOrNull(
+                compareBy<Map.Entry<String, Int>> { it.value }.thenByDescending { it.key }
+            )
         if (strongest != null) {
             val (keeper, count) = strongest
             val isStronger = count > shares.count || (count == shares.count && keeper < self)
@@ -158,8 +162,8 @@
     }
 
     private inline fun changeShares(change: () -> Unit) {
-        val before = shares.held
+        val falls = shares.falls
         change()
-        if (shares.held < before) granter.onShareChange()
+        if (shares.falls > falls) granter.onShareChange()
     }
 }
--- a/yuccawind-core/src/test/kotlin/org/yuccawind/core/admission/PrimaryAdmissionTest.kt
+++ b/yuccawind-core/src/test/kotlin/org/yuccawind/core/admission/PrimaryAdmissionTest.kt
@@ -14,8 +14,8 @@
     fun `an instance right after its start leaves the client time for other instances`() {
         val demand = demand(goal = 400.milliseconds, timeout = 1_000.milliseconds)
         PrimaryAdmission.decide(PrimaryBelief.NotSeenYet, demand) shouldBe
-            Admission.Wait(100.milliseconds)
-        time += 100.milliseconds
+            Admission.Wait(500.milliseconds)
+        time += 500.milliseconds
         PrimaryAdmission.decide(PrimaryBelief.NotSeenYet, demand) shouldBe
             Admission.Refuse(RefusalReason.NO_PRIMARY_YET)
     }
--- a/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/log/KeyValueLine.kt
+++ b/yuccawind-proxy/src/main/kotlin/org/yuccawind/proxy/log/KeyValueLine.kt
@@ -3,11 +3,15 @@
 private const val HEX_RADIX = 16
 private const val ESCAPE_DIGITS = 4
 
+/** Maximum length of a value. Clients choose some values, and lines queue in memory. */
+private const val MAX_VALUE_CHARS = 2_048
+
 /** Formats an event as one machine-readable line of key=value pairs. */
 internal object KeyValueLine {
     /**
      * Returns the line for [event]. Values that are empty or contain white space, `"`, `=`, `\`,
-     * control characters or surrogates are quoted and escaped.
+     * control characters or surrogates are quoted and escaped. Longer ones than
+     * [MAX_VALUE_CHARS] are cut.
      */
     fun format(event: String, fields: Array<out Pair<String, Any?>>): String = buildString {
         append("event=")
@@ -16,7 +20,7 @@
             append(' ')
             append(key)
             append('=')
-            appendValue(value.toString())
+            appendValue(value.toString().take(MAX_VALUE_CHARS))
         }
     }
 
