Stand-ins: end messages at CR LF only, and repeat or cut answers

WireLineReader reads the protocol as it is published: a message ends at CR LF, every other byte is content. WireClient is a client on top of it.

AnswerFaults, seeded: a share of the answers is sent twice, at once or after a delay, or cut off half-way, for statements of clients and of the proxy, errors included, but not for the start of a session; rows can go on with given bytes. SET keeps the whole value: a name such as T was also found within the word SET, and the value began there.

WireMain, changed to WireClient, was compiled but not run.

--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -3,6 +3,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.awaitCancellation
@@ -44,6 +45,21 @@
     /** Client statements executed here, in order. */
     val executions = CopyOnWriteArrayList<StatementExecution>()
 
+    /** Answers to statements, in order, as they were before the faults of [answerFaults]. */
+    val answers = CopyOnWriteArrayList<AnswerRecord>()
+
+    /** Identifiers of the writes committed here as primary, in order. */
+    val committedWrites = CopyOnWriteArrayList<String>()
+
+    /** Injected faults of the answers. */
+    @Volatile
+    var answerFaults = AnswerFaults()
+        private set
+
+    @Volatile
+    internal var faultRandom = Random(answerFaults.seed)
+        private set
+
     private val lagRefusals = AtomicInteger()
 
     /** Number of statements refused because the log had not reached the required position. */
@@ -71,6 +87,12 @@
         faults.value = next
     }
 
+    /** Replaces the injected faults of the answers by [next], also on open connections. */
+    fun inject(next: AnswerFaults) {
+        faultRandom = Random(next.seed)
+        answerFaults = next
+    }
+
     /** Term below which this server receives no log entries; 0 if replication is not paused. */
     @Volatile
     var pausedBelowTerm = 0L
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabaseServer.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabaseServer.kt
@@ -1,7 +1,6 @@
 package org.yuccawind.standins.wire
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.io.BufferedReader
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -38,8 +37,7 @@
     private fun serve(socket: Socket) {
         val session = database.connect()
         try {
-            val reader = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
-            answerAll(reader, socket, session)
+            answerAll(WireLineReader(socket.getInputStream()), socket, session)
         } catch (e: SocketException) {
             log.info { "connection to ${database.name} closed: ${e.message}" }
         } finally {
@@ -47,14 +45,13 @@
         }
     }
 
-    private fun answerAll(reader: BufferedReader, socket: Socket, session: WireSession) {
-        val output = socket.getOutputStream()
+    private fun answerAll(reader: WireLineReader, socket: Socket, session: WireSession) {
+        val writer = AnswerWriter(socket, { database.answerFaults }, { database.faultRandom })
         while (true) {
-            val line = reader.readLine() ?: return
+            val line = reader.read() ?: return
+            val hasFaults = session.isStarted
             val answer = runBlocking { session.handle(line) }
-            output.write(answer.joinToString("") { "$it\r\n" }.toByteArray(Charsets.ISO_8859_1))
-            output.flush()
-            if (answer.last().startsWith("ERROR")) return
+            if (!writer.write(answer, hasFaults) || answer.last().startsWith("ERROR")) return
         }
     }
 
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireMain.kt
@@ -3,7 +3,6 @@
 import java.io.File
 import java.io.IOException
 import java.net.ServerSocket
-import java.net.Socket
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -106,7 +105,7 @@
 private fun runSessions(port: Int) {
     for (database in listOf("primary", "bounded_staleness", "read_your_writes", "unknown")) {
         try {
-            Socket("127.0.0.1", port).use { runSession(it, database) }
+            WireClient(port, database).use(::runSession)
         } catch (e: IOException) {
             System.err.println("cannot open a session on port $port: ${e.message}")
             return
@@ -114,21 +113,13 @@
     }
 }
 
-private fun runSession(socket: Socket, database: String) {
-    val reader = socket.getInputStream().bufferedReader()
-    fun send(line: String) = socket.getOutputStream().write("$line\r\n".toByteArray())
-    send("START $database rehearsal")
-    if (reader.readLine()?.startsWith("READY") != true) return
+private fun runSession(client: WireClient) {
+    if (!client.greeting.startsWith("READY")) return
     val statements = listOf(
         "SET mode strict", "WRITE k v", "READ k", "PREPARE s READ q", "EXECUTE s k", "DEALLOC s",
         "BEGIN", "WRITE k w", "READ k", "COMMIT", "BEGIN READ", "READ k", "COMMIT", "BEGIN",
         "READ k", "ROLLBACK", "UNKNOWN"
     )
-    statements.forEachIndexed { number, text ->
-        send("QUERY $number $text")
-        do {
-            val line = reader.readLine() ?: return
-        } while (!line.startsWith("READY"))
-    }
-    send("TERMINATE")
+    statements.forEachIndexed { number, text -> client.query("$number", text) }
+    client.send("TERMINATE")
 }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -12,7 +12,8 @@
     private val values = LinkedHashMap<String, String>()
     private val prepared = HashMap<String, String>()
     private var transaction: Transaction? = null
-    private var isStarted = false
+    internal var isStarted = false
+        private set
     private var caller = ""
     private val isClosed = AtomicBoolean()
 
@@ -58,6 +59,7 @@
             point != null && logEnd().position < point.position -> refuseLagging()
             else -> run(id, statement)
         }
+        database.answers += AnswerRecord(database.name, id, result)
         return result + ready()
     }
 
@@ -85,7 +87,7 @@
             "BEGIN" -> begin(isReadOnly = words.size > 1)
             "ROLLBACK" -> done().also { transaction = null }
             "COMMIT" -> commit(id)
-            "SET" -> done().also { values[words[1]] = statement.substringAfter(words[1] + " ") }
+            "SET" -> done().also { values[words[1]] = words.drop(2).joinToString(" ") }
             "PREPARE" -> done().also { prepared[words[1]] = words.drop(2).joinToString(" ") }
             "RESET" -> reset()
             "READ", "WRITE", "EXECUTE" -> runData(id, statement, words)
@@ -135,11 +137,13 @@
             val open = transaction
             when {
                 !isWrite -> database.model.query(open?.writes.orEmpty() + command).rows
-                    .map { "ROW $it" } + doneWithId(id)
+                    .map { "ROW $it${rowTail()}" } + doneWithId(id)
 
-                open != null -> doneWithId(id).also { open.writes += command }
+                open != null -> doneWithId(id).also { open.add(id, command) }
 
-                else -> doneWithId(id).also { committed = commitToModel(listOf(command)) }
+                else -> doneWithId(id).also {
+                    committed = commitToModel(listOf(id), listOf(command))
+                }
             }
         }
         return acknowledge(reply, committed)
@@ -153,14 +157,22 @@
         val reply = database.inSlot {
             if (open.writes.isNotEmpty() && !database.isPrimary) return@inSlot error("READONLY")
             recordExecution(id, "COMMIT", open)
-            if (open.writes.isNotEmpty()) committed = commitToModel(open.writes)
+            if (open.writes.isNotEmpty()) committed = commitToModel(open.ids, open.writes)
             doneWithId(id)
         }
         return acknowledge(reply, committed)
     }
 
-    private fun commitToModel(commands: List<String>): LogPoint? =
-        database.model.commit(database.model.status().fence, commands, null)?.end
+    private fun commitToModel(ids: List<String>, commands: List<String>): LogPoint? {
+        val answer = database.model.commit(database.model.status().fence, commands, null)
+        if (answer != null) database.committedWrites += ids
+        return answer?.end
+    }
+
+    private fun rowTail(): String {
+        val tails = database.answerFaults.rowTails
+        return if (tails.isEmpty()) "" else tails.random(database.faultRandom)
+    }
 
     /** Returns [reply] once enough replicas have received the log up to [committed]. */
     private suspend fun acknowledge(reply: List<String>, committed: LogPoint?): List<String> {
@@ -231,8 +243,14 @@
     private fun logEnd() = database.model.status().end
 
     private class Transaction(val number: Long, val isReadOnly: Boolean) {
+        val ids = ArrayList<String>()
         val writes = ArrayList<String>()
         var isFailed = false
+
+        fun add(id: String, command: String) {
+            ids += id
+            writes += command
+        }
     }
 
     private companion object {
