--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/ClientSession.kt
@@ -179,7 +179,7 @@
         val from = caller
             ?: return refused(StatementCode.UNKNOWN_KEY, "the key belongs to no workspace")
         if (from is Caller.Member && !context.limiter.tryStart(from.definition)) {
-            return refused(StatementCode.RATE_LIMITED, "rate limit of workspace ${from.workspace}")
+            return refused(StatementCode.RATE_LIMITED, "rate limit of the workspace")
         }
         return operation(current, from)
     }
@@ -192,8 +192,7 @@
         )
     }
 
-    private fun noDatabase() =
-        refused(StatementCode.NO_SUCH_DATABASE, "no route has the database $database")
+    private fun noDatabase() = refused(StatementCode.NO_SUCH_DATABASE, "no route has this database")
 
     private fun malformed(detail: String) = refused(StatementCode.MALFORMED, detail)
 
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleRead.kt
@@ -49,7 +49,7 @@
         statement: BackendStatement,
         trace: StatementTrace
     ): StatementAnswer {
-        val group = context.groups(route.service) ?: return busy("service ${route.service} is gone")
+        val group = context.groups(route.service) ?: return busy("the service is gone")
         val now = context.time.markNow()
         val demand =
             StatementDemand(now, now + route.statementTimeout, route.targetLatency, route.priority)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/client/SingleWrite.kt
@@ -45,7 +45,7 @@
         trace: StatementTrace
     ): StatementAnswer {
         val group = context.groups(route.service)
-            ?: return refused(StatementCode.BUSY, "service ${route.service} is gone")
+            ?: return refused(StatementCode.BUSY, "the service is gone")
         val now = context.time.markNow()
         val demand =
             StatementDemand(now, now + route.statementTimeout, route.targetLatency, route.priority)
--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/statement/StatementAnswer.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/statement/StatementAnswer.kt
@@ -29,6 +29,11 @@
      */
     data class Done(val receipt: String?) : StatementResult
 
-    /** The statement failed or was refused. */
+    /**
+     * The statement failed or was refused.
+     *
+     * @property detail explanation for the client. Holds no name of a configuration: the texts of
+     *   servers and clients are bytes, and such names are Unicode
+     */
     data class Refused(val code: StatementCode, val detail: String) : StatementResult
 }
