Count values of a connection as set only once they are sent

Cause: PooledLink records values, resets and prepared shapes as the server's when a caller asks for the commands that set them. A caller whose time has run out by then does not send them and returns the connection to the pool; the next session with the same values sends none, and runs with those of the session before.

Commands that were asked for and are not in the next batch now make the state of the connection unknown, so that its next user resets it. PooledLinkTest: 4 of 6 tests failed before, e.g. expected [Reset, SetValue(tenant, t1)] but was []. They pass, as do SharedConnectionsTest and SessionFailoverTest.

--- a/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
+++ b/yuccawind-core/src/main/kotlin/org/yuccawind/core/link/PooledLink.kt
@@ -31,6 +31,9 @@
     private var namesAssigned = 0
     private var isStateKnown = true
 
+    /** Commands whose effect is recorded here, but which have not been sent. */
+    private val unsent = ArrayList<LinkCommand>()
+
     /** End of the server's log as last reported on this link; null while not reported. */
     var position: LogPoint? = link.initialPosition
         private set
@@ -72,14 +75,20 @@
         prepared[shape]?.let { return Preparation(it, emptyList()) }
         val name = "s${namesAssigned++}"
         prepared[shape] = name
-        return Preparation(name, listOf(LinkCommand.Prepare(name, shape)))
+        return Preparation(name, listOf(LinkCommand.Prepare(name, shape)).also(unsent::addAll))
     }
 
     /**
      * Returns the commands that set the link's session variables to [variables]. The new state is
-     * recorded at once; [exchange] marks it as unknown when the server's state may differ.
+     * recorded at once; it counts as unknown when the next batch lacks these commands, or when the
+     * server's state may differ after it.
      */
     fun commandsToApply(variables: SessionVariables): List<LinkCommand> {
+        discardUnsent()
+        return commandsFor(variables).also(unsent::addAll)
+    }
+
+    private fun commandsFor(variables: SessionVariables): List<LinkCommand> {
         if (isIdle && (!isStateKnown || prepared.size >= MAX_PREPARED)) return resetTo(variables)
         if (values == variables.values) return emptyList()
         if (isIdle && !variables.values.keys.containsAll(values.keys)) return resetTo(variables)
@@ -91,6 +100,7 @@
     /** Sends [commands] in one batch and returns their replies. */
     suspend fun exchange(commands: List<LinkCommand>): Either<LinkLost, List<LinkReply>> {
         val wasIdle = isIdle
+        if (commands.containsAll(unsent)) unsent.clear() else discardUnsent()
         return link.exchange(commands).onRight { replies ->
             replies.forEach(::recordReply)
             if (commands.zip(replies).any { mayHaveDiverged(it.first, it.second, wasIdle) }) {
@@ -102,6 +112,12 @@
     /** Closes the connection. */
     fun close() = link.close()
 
+    /** A caller that runs out of time may not send the commands that it asked for. */
+    private fun discardUnsent() {
+        if (unsent.isNotEmpty()) isStateKnown = false
+        unsent.clear()
+    }
+
     private fun resetTo(variables: SessionVariables): List<LinkCommand> {
         prepared.clear()
         isStateKnown = true
