--- a/yuccawind-proxy/src/test/kotlin/org/yuccawind/proxy/log/KeyValueLineTest.kt
+++ b/yuccawind-proxy/src/test/kotlin/org/yuccawind/proxy/log/KeyValueLineTest.kt
@@ -37,6 +37,16 @@
         }
     }
 
+    /** Clients choose ids and names, and servers the texts of their errors. */
+    @Test
+    fun `ids, names and error texts make one line`() {
+        val odd = "\n\r\r\n\u001b[2J\"=\\ \u0085\u2028\u2029\u0000event=forged"
+        val fields = arrayOf("id" to odd, "database" to "a\n$odd", "outcome" to "FAILED: $odd")
+        val line = KeyValueLine.format("statement_route", fields)
+        line.none { it.isISOControl() || it == '\u2028' || it == '\u2029' } shouldBe true
+        parse(line) shouldBe listOf("event" to "statement_route") + fields
+    }
+
     @Test
     fun `plain values are not quoted`() {
         KeyValueLine.format("e", arrayOf("a" to 1, "b" to null)) shouldBe "event=e a=1 b=null"
