--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireClient.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireClient.kt
@@ -41,5 +41,8 @@
     /** Returns the next message; throws EOFException at the end of the input. */
     fun read(): String = reader.read() ?: throw EOFException("connection closed by the instance")
 
+    /** True if a message other than ERROR has arrived and is not read yet. */
+    fun hasUnreadAnswer() = reader.peek().let { it != null && it != 'E' }
+
     override fun close() = socket.close()
 }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -38,6 +38,7 @@
     private val slots = Semaphore(settings.slots)
     private val openConnections = AtomicInteger()
     private val nextConnection = AtomicLong()
+    private val nextReceipt = AtomicLong()
     private val nextTransaction = AtomicLong()
 
     internal val model = DatabaseModel(time)
@@ -164,6 +165,9 @@
         lagRefusals.incrementAndGet()
     }
 
+    /** Returns a number that makes a receipt differ from all others of this server. */
+    internal fun newReceipt() = nextReceipt.incrementAndGet()
+
     internal fun newTransaction() = nextTransaction.incrementAndGet()
 
     internal suspend fun <T> inSlot(block: () -> T): T = slots.withPermit {
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabaseServer.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabaseServer.kt
@@ -5,6 +5,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
 import kotlinx.coroutines.runBlocking
 
@@ -14,6 +15,8 @@
 class WireDatabaseServer(private val database: WireDatabase) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
+    private val sockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
+
     /** IP address and port. */
     val address = "127.0.0.1:${listener.localPort}"
 
@@ -23,6 +26,16 @@
 
     override fun close() = listener.close()
 
+    /** Resets all open connections. */
+    fun resetConnections() = sockets.forEach {
+        try {
+            it.setSoLinger(true, 0)
+            it.close()
+        } catch (e: SocketException) {
+            log.info { "connection to ${database.name} already closed: ${e.message}" }
+        }
+    }
+
     private fun accept() {
         try {
             while (true) {
@@ -36,11 +49,13 @@
 
     private fun serve(socket: Socket) {
         val session = database.connect()
+        sockets += socket
         try {
             answerAll(WireLineReader(socket.getInputStream()), socket, session)
         } catch (e: SocketException) {
             log.info { "connection to ${database.name} closed: ${e.message}" }
         } finally {
+            sockets -= socket
             session.close()
         }
     }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireLineReader.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireLineReader.kt
@@ -28,5 +28,12 @@
         }
     }
 
+    /** Returns the first character that has arrived and is not read yet; null if none has. */
+    fun peek(): Char? {
+        if (input.available() == 0) return null
+        input.mark(1)
+        return input.read().also { input.reset() }.toChar()
+    }
+
     private fun ByteArrayOutputStream.withoutLastByte() = toString(Charsets.ISO_8859_1).dropLast(1)
 }
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -226,7 +226,8 @@
         return !open.isReadOnly && !database.isPrimary
     }
 
-    private fun doneWithId(id: String) = listOf("DONE ${database.name}.$id")
+    private fun doneWithId(id: String) =
+        listOf("DONE ${database.name}.$id.${database.newReceipt()}")
 
     private fun done() = listOf("DONE $NO_ID")
 
