Tests: refusals sent twice, and a commit refused as busy

Callers: a COMMIT that the server refuses with BUSY in state T, so without having run it, gets INDOUBT, which no client may retry, where passed BUSY on. Cause: ReplyCheck.checkUnfinished. The first such refusal on a connection fails with WRONG_STATE and closes it; with words that the connection knows it is dropped as REPEATED_ERROR, and the client waits for the time-out of 2 s. Whether a server of the users refuses a COMMIT in state T is not shown; our stand-in does, since the transaction goes on after a statement that was not run.

--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/AnswerFaults.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/AnswerFaults.kt
@@ -7,6 +7,7 @@
  * @property repeatedShare share of answers that are sent twice
  * @property repeatDelayMs delay of the second answer in milliseconds; 0 sends both together
  * @property cutShare share of answers that are cut off half-way, followed by a close
+ * @property busyShare share of the statements that need a slot that are refused with BUSY
  * @property rowTails texts of which one is appended to each row; characters are bytes
  */
 data class AnswerFaults(
@@ -14,5 +15,6 @@
     val repeatedShare: Double = 0.0,
     val repeatDelayMs: LongRange = 0L..0L,
     val cutShare: Double = 0.0,
+    val busyShare: Double = 0.0,
     val rowTails: List<String> = emptyList()
 )
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireDatabase.kt
@@ -74,6 +74,9 @@
     /** Number of open connections. */
     val connections get() = openConnections.get()
 
+    /** Number of connections opened since the start, including refused ones. */
+    val connectionsOpened get() = nextConnection.get()
+
     /** Current replication lag. */
     val lag get() = faults.value.lagMs?.milliseconds ?: settings.lag
 
@@ -165,6 +168,13 @@
         lagRefusals.incrementAndGet()
     }
 
+    /** Returns true for the share of statements that [AnswerFaults.busyShare] refuses. */
+    internal fun refusesAsBusy(): Boolean {
+        val share = answerFaults.busyShare
+        val random = faultRandom
+        return share > 0 && synchronized(random) { random.nextDouble() } < share
+    }
+
     /** Returns a number that makes a receipt differ from all others of this server. */
     internal fun newReceipt() = nextReceipt.incrementAndGet()
 
--- a/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
+++ b/yuccawind-standins/src/main/kotlin/org/yuccawind/standins/wire/WireSession.kt
@@ -56,6 +56,7 @@
         val point = after?.let(LogPoint::parse)
         val result = when {
             transaction?.isFailed == true -> runInFailedTransaction(statement)
+            needsSlot(statement) && database.refusesAsBusy() -> error("BUSY")
             point != null && logEnd().position < point.position -> refuseLagging()
             else -> run(id, statement)
         }
@@ -63,6 +64,8 @@
         return result + ready()
     }
 
+    private fun needsSlot(statement: String) = statement.substringBefore(' ') in SLOT_STATEMENTS
+
     private fun refuseLagging(): List<String> {
         database.recordLagRefusal()
         return error("LAGGING")
@@ -261,6 +264,7 @@
         const val START_ID_INDEX = 3
         const val AFTER_FIELDS = 3
         const val EXECUTE_DATA_INDEX = 3
+        val SLOT_STATEMENTS = setOf("READ", "WRITE", "EXECUTE", "COMMIT", "STATUS")
         val TRANSACTION_ENDS = setOf("ROLLBACK", "COMMIT")
     }
 }
